--- /dev/null
+++ b/packages/core/node.cmake
@@ -0,0 +1,1 @@
+list(APPEND core_sources src/invariant.cc)
