Core messages: screening at a fingerprint's home, numbered asks, key endings

Cause: a gossip of deaths can't bound what copies sent at once kill, and a grant must be timed from the ask it answers. Change: the home of a fingerprint counts open runs and deaths; admission asks carry a sequence; the homes of a key learn how its run ended.

--- a/packages/core/include/umbertrail/core/messages.h
+++ b/packages/core/include/umbertrail/core/messages.h
@@ -15,7 +15,6 @@
 namespace umbertrail::core {
 
 // -- Probe and admission: receiving instance to a target's owner
-// ----------------
 
 // Asks what an owner would answer for a request. Advice only.
 struct ProbeRequest {
@@ -68,7 +67,15 @@
   // Answers AdmitReady: the queued place is claimed now.
   bool claim = false;
   // Ticket or key of a call that may not be repeated, for the owner's check.
+  // The same request may ask again under it; another request may not.
   std::string once_token;
+  // Numbers the sender's asks for one attempt; the reply echoes it, so that
+  // the grant window counts from the ask that was answered. Asking again for
+  // the same request and attempt is idempotent.
+  uint32_t sequence = 0;
+  // A target died while running this content: it shares no target with another
+  // suspect, so that a second death names the right one.
+  bool suspect = false;
 };
 
 enum class AdmitDecision { kGranted, kQueued, kRefused };
@@ -80,6 +87,7 @@
   AdmitDecision decision = AdmitDecision::kRefused;
   Reason reason = Reason::kOk;
   absl::Duration retry_after;
+  uint32_t sequence = 0;       // of the ask answered; 0 when unsolicited
   BootId boot;                 // of the target, when granted
   absl::Duration first_token;  // predicted from now, when granted or queued
 };
@@ -148,7 +156,6 @@
 };
 
 // -- Manifest and freshness
-// -------------------------------------------------------
 
 // Answers an older sender, or asks a peer what it holds (freshness check).
 struct HeadQuery {
@@ -167,19 +174,38 @@
 };
 
 // -- Quarantine
-// ---------------------------------------------------------------------
 
-// A target died while running this content.
-struct DeathReport {
+// Asks the home of a fingerprint whether this content may run now. At most
+// two runs of content that never completed are open or ended in a target's
+// death, so content that kills its targets kills no third one.
+struct ScreenRequest {
+  RequestId request;
+  AttemptNumber attempt;
   Fingerprint fingerprint;
-  TargetId target;
-  BootId boot;
-  // Hops left when passed on.
-  uint32_t hops = 0;
+  absl::Duration time_left;
+};
+enum class ScreenVerdict { kRun, kWait, kQuarantined };
+struct ScreenReply {
+  RequestId request;
+  AttemptNumber attempt;
+  Fingerprint fingerprint;
+  ScreenVerdict verdict = ScreenVerdict::kRun;
+  // Deaths counted so far; above 0 the content is suspect.
+  uint32_t deaths = 0;
+};
+enum class ScreenEnd {
+  kCompleted,  // ran to its end: the content is proven
+  kDied,       // its target died while running it
+  kReleased,   // ended otherwise
+};
+struct ScreenEnded {
+  RequestId request;
+  AttemptNumber attempt;
+  Fingerprint fingerprint;
+  ScreenEnd end = ScreenEnd::kReleased;
 };
 
 // -- Calls that may not be repeated
-// -------------------------------------------------
 
 // A submission passed to the incarnation that issued its ticket.
 struct SubmitForward {
@@ -215,6 +241,16 @@
   RequestId request;
   std::string once_token;
   KeyGrantDecision decision = KeyGrantDecision::kNotHome;
+  // With kSeenBefore: the first run's outcome, once it is known.
+  bool finished = false;
+  Outcome outcome;
+};
+// Tells a home how the run under a key ended. With outcome.ran == kNo nothing
+// was sent and the key is free again.
+struct KeyEnded {
+  RequestId request;
+  std::string once_token;
+  Outcome outcome;
 };
 
 using PeerPayload = std::variant<ProbeRequest,
@@ -230,12 +266,15 @@
                                  HeadOffer,
                                  PartRequest,
                                  PartReply,
-                                 DeathReport,
+                                 ScreenRequest,
+                                 ScreenReply,
+                                 ScreenEnded,
                                  SubmitForward,
                                  SubmitResult,
                                  RedemptionHandover,
                                  KeyGrantRequest,
-                                 KeyGrantReply>;
+                                 KeyGrantReply,
+                                 KeyEnded>;
 
 // What travels: every message carries its sender's revision, and whether the
 // sender is leaving.
--- a/packages/core/include/umbertrail/core/types.h
+++ b/packages/core/include/umbertrail/core/types.h
@@ -15,7 +15,7 @@
 // Request or answer bytes, shared and never changed.
 using Body = std::shared_ptr<const std::string>;
 
-// -- Requests -----------------------------------------------------------------
+// -- Requests
 
 enum class RequestKind { kCompletion, kServiceCall };
 
@@ -71,7 +71,7 @@
   std::string idempotency_key;
 };
 
-// -- Outcomes -----------------------------------------------------------------
+// -- Outcomes
 
 // Whether any part of a request has run on a target. kNo is said only while
 // nothing was written to a target, or when the target itself said so.
@@ -115,7 +115,6 @@
 };
 
 // -- The fleet as the platform lists it
-// -----------------------------------------
 
 struct InstanceInfo {
   InstanceId id;  // IP number and port of its peer listener
@@ -136,7 +135,6 @@
 };
 
 // -- What targets report
-// ----------------------------------------------------------
 
 enum class TargetState { kCold, kWarm, kLeaving };
 
