--- a/packages/core/include/umbertrail/core/messages.h
+++ b/packages/core/include/umbertrail/core/messages.h
@@ -107,6 +107,8 @@
     RequestId request;
     AttemptNumber attempt;
     TargetId target;
+    // What the attempt holds on the target, so that a new owner can charge it.
+    Tokens held;
     Tokens generated;
   };
   std::vector<Entry> attempts;
@@ -228,6 +230,11 @@
 };
 struct RedemptionHandover {
   InstanceRef issuer;
+  // Parts of one hand-over, numbered from 0; it is whole when all came.
+  uint32_t part = 0;
+  uint32_t parts = 1;
+  // Tickets with smaller serials may have been used and forgotten.
+  uint64_t complete_from = 0;
   std::vector<RedemptionRecord> records;
 };
 
--- /dev/null
+++ b/packages/core/src/request/screen_home.cc
@@ -0,0 +1,126 @@
+#include "umbertrail/core/request/screen_home.h"
+
+#include <algorithm>
+
+namespace umbertrail::core {
+namespace {
+
+constexpr absl::Duration kSweepInterval = absl::Minutes(1);
+
+template <typename Runs>
+auto FindRun(Runs& runs, const InstanceRef& holder, const RequestId& request) {
+  return std::find_if(runs.begin(), runs.end(), [&](const auto& it) {
+    return it.holder == holder && it.request == request;
+  });
+}
+
+}  // namespace
+
+ScreenHome::ScreenHome(const Mutations* mutations) : mutations_(mutations) {}
+
+ScreenReply ScreenHome::OnRequest(absl::Time now,
+                                  const InstanceRef& from,
+                                  const ScreenRequest& request) {
+  ScreenReply reply{request.request, request.attempt, request.fingerprint,
+                    ScreenVerdict::kRun, 0};
+  if (mutations_->forget_deaths) {
+    return reply;
+  }
+  auto found = entries_.find(request.fingerprint);
+  if (found == entries_.end()) {
+    if (entries_.size() >= kMaxEntries) {
+      return reply;
+    }
+    found = entries_.emplace(request.fingerprint, Entry{}).first;
+  }
+  Entry& entry = found->second;
+  entry.touched = now;
+  DropExpiredRuns(now, &entry);
+  reply.deaths = entry.deaths;
+  if (FindRun(entry.runs, from, request.request) != entry.runs.end()) {
+    return reply;
+  }
+  reply.verdict = Judge(entry);
+  if (reply.verdict == ScreenVerdict::kRun && !entry.proven) {
+    entry.runs.push_back({from, request.request, now + request.time_left});
+  }
+  return reply;
+}
+
+void ScreenHome::OnEnded(absl::Time now,
+                         const InstanceRef& from,
+                         const ScreenEnded& ended) {
+  auto found = entries_.find(ended.fingerprint);
+  if (found == entries_.end()) {
+    // A death is remembered also by homes that did not grant the run.
+    if (ended.end != ScreenEnd::kDied || entries_.size() >= kMaxEntries) {
+      return;
+    }
+    found = entries_.emplace(ended.fingerprint, Entry{}).first;
+  }
+  Entry& entry = found->second;
+  entry.touched = now;
+  const auto run = FindRun(entry.runs, from, ended.request);
+  if (run != entry.runs.end()) {
+    entry.runs.erase(run);
+  }
+  if (ended.end == ScreenEnd::kDied) {
+    ++entry.deaths;
+    entry.proven = false;
+  }
+  if (ended.end == ScreenEnd::kCompleted) {
+    // One death beside others was not this content's doing: it ran whole.
+    entry.deaths = entry.deaths < kDeathLimit ? 0 : entry.deaths;
+    entry.proven = entry.deaths == 0;
+    entry.runs.clear();
+  }
+}
+
+void ScreenHome::OnHolderGone(const InstanceRef& holder) {
+  for (auto& [fingerprint, entry] : entries_) {
+    auto& runs = entry.runs;
+    runs.erase(
+        std::remove_if(runs.begin(), runs.end(),
+                       [&](const Run& it) { return it.holder == holder; }),
+        runs.end());
+  }
+}
+
+void ScreenHome::OnTick(absl::Time now) {
+  if (now - swept_ < kSweepInterval) {
+    return;
+  }
+  swept_ = now;
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    it = now - it->second.touched > kMemory ? entries_.erase(it) : ++it;
+  }
+}
+
+std::vector<QuarantineStatus> ScreenHome::Status() const {
+  std::vector<QuarantineStatus> status;
+  for (const auto& [fingerprint, entry] : entries_) {
+    if (entry.deaths > 0) {
+      status.push_back({fingerprint, static_cast<int>(entry.deaths)});
+    }
+  }
+  return status;
+}
+
+ScreenVerdict ScreenHome::Judge(const Entry& entry) const {
+  if (entry.deaths >= kDeathLimit) {
+    return ScreenVerdict::kQuarantined;
+  }
+  if (entry.proven || entry.deaths + entry.runs.size() < kDeathLimit) {
+    return ScreenVerdict::kRun;
+  }
+  return ScreenVerdict::kWait;
+}
+
+void ScreenHome::DropExpiredRuns(absl::Time now, Entry* entry) const {
+  auto& runs = entry->runs;
+  runs.erase(std::remove_if(runs.begin(), runs.end(),
+                            [&](const Run& it) { return it.expires <= now; }),
+             runs.end());
+}
+
+}  // namespace umbertrail::core
