--- a/packages/core/include/umbertrail/core/node.h
+++ b/packages/core/include/umbertrail/core/node.h
@@ -97,6 +97,9 @@
   // Whether callers should be sent here.
   bool Ready(absl::Time now) const;
 
+  // What a SendPeer's payload travels in.
+  PeerEnvelope Wrap(PeerPayload payload) const;
+
   // The manifest in force; null before the first.
   const manifest::Manifest* manifest() const;
 
--- /dev/null
+++ b/packages/core/src/request/flow_attempt.cc
@@ -0,0 +1,265 @@
+// Attempts: relays an answer in order and decides what a failure means.
+
+#include <algorithm>
+#include <cmath>
+
+#include "umbertrail/core/invariant.h"
+#include "umbertrail/core/request/rendezvous.h"
+#include "umbertrail/core/request/request_flow.h"
+
+namespace umbertrail::core {
+namespace {
+
+constexpr absl::Duration kRetryLater = absl::Seconds(2);
+// Homes that remember a death, so that one of them replaced forgets nothing.
+constexpr std::size_t kDeathHomes = 2;
+constexpr absl::Duration kSuspendPause = absl::Milliseconds(100);
+
+}  // namespace
+
+ActiveRequest* RequestFlow::FindAttempt(const RequestId& id,
+                                        AttemptNumber attempt) {
+  ActiveRequest* r = table_.Find(id);
+  const bool current =
+      r != nullptr && r->phase == Phase::kRunning && r->attempt == attempt;
+  return current ? r : nullptr;
+}
+
+void RequestFlow::OnAttemptStarted(absl::Time now,
+                                   const AttemptStarted& event) {
+  static_cast<void>(now);
+  ActiveRequest* r = FindAttempt(event.request, event.attempt);
+  if (r != nullptr) {
+    r->seen_running = true;
+  }
+}
+
+void RequestFlow::OnAttemptChunk(absl::Time now,
+                                 AttemptChunk event,
+                                 Actions* actions) {
+  ActiveRequest* r = FindAttempt(event.request, event.attempt);
+  if (r == nullptr && parts_.mutations->relay_foreign_chunks) {
+    r = table_.Find(event.request);
+    if (r != nullptr) {
+      actions->push_back(RelayChunk{event.request, event.offset, event.tokens,
+                                    std::move(event.text)});
+    }
+    return;
+  }
+  if (r == nullptr) {
+    return;
+  }
+  r->seen_running = true;
+  if (r->first_token == absl::ZeroDuration()) {
+    r->first_token = now - r->started_at;
+  }
+  const Tokens before = r->answer.delivered();
+  std::vector<AnswerPart> released;
+  const AnswerAssembler::Verdict verdict = r->answer.Add(
+      {event.offset, event.tokens, std::move(event.text)}, &released);
+  Tokens next = before;
+  for (AnswerPart& it : released) {
+    UMBERTRAIL_INVARIANT(it.offset == next);
+    next += it.tokens;
+    actions->push_back(
+        RelayChunk{event.request, it.offset, it.tokens, std::move(it.text)});
+  }
+  if (verdict == AnswerAssembler::Verdict::kInconsistent) {
+    actions->push_back(
+        CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+    OnBroken(now, r, true, actions);
+  }
+}
+
+void RequestFlow::OnAttemptDone(absl::Time now,
+                                const AttemptDone& event,
+                                Actions* actions) {
+  ActiveRequest* r = FindAttempt(event.request, event.attempt);
+  if (r == nullptr) {
+    return;
+  }
+  r->seen_running = true;
+  const bool completion = r->spec.kind == RequestKind::kCompletion;
+  if (completion && !r->answer.IsWhole(event.total)) {
+    OnBroken(now, r, true, actions);
+    return;
+  }
+  if (!completion) {
+    r->first_token = now - r->started_at;
+  }
+  SettlePlaces(now, r, AttemptResult::kDone, actions);
+  ReleaseScreen(r, ScreenEnd::kCompleted, actions);
+  r->phase = Phase::kHeld;
+  Outcome outcome;
+  outcome.reason = Reason::kOk;
+  outcome.ran = Ran::kYes;
+  outcome.total = r->answer.delivered();
+  outcome.body = event.body;
+  Finish(now, r, std::move(outcome), actions);
+}
+
+void RequestFlow::OnAttemptFailed(absl::Time now,
+                                  const AttemptFailed& event,
+                                  Actions* actions) {
+  ActiveRequest* r = FindAttempt(event.request, event.attempt);
+  if (r == nullptr) {
+    return;
+  }
+  switch (event.failure) {
+    case AttemptFailure::kNotSent:
+    case AttemptFailure::kSaidNotRun:
+    case AttemptFailure::kRefusedRestart:
+      OnNotRun(now, r, actions);
+      return;
+    case AttemptFailure::kAnswered:
+      r->seen_running = true;
+      OnBroken(now, r, true, actions);
+      return;
+    case AttemptFailure::kSilent:
+      actions->push_back(
+          CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+      OnBroken(now, r, false, actions);
+      return;
+    case AttemptFailure::kBroken:
+      OnBroken(now, r, false, actions);
+      return;
+  }
+}
+
+void RequestFlow::OnNotRun(absl::Time now, ActiveRequest* r, Actions* actions) {
+  ++r->sends_not_run;
+  r->excluded.insert(r->places.back().target);
+  TryElsewhere(now, r, actions);
+}
+
+void RequestFlow::OnBroken(absl::Time now,
+                           ActiveRequest* r,
+                           bool answered,
+                           Actions* actions) {
+  if (parts_.mutations->say_not_run_after_send && !r->seen_running) {
+    ++r->sends_not_run;
+  }
+  ++r->failed_sends;
+  const Place lead = r->places.back();
+  SettlePlaces(now, r,
+               answered ? AttemptResult::kFailed : AttemptResult::kBroken,
+               actions);
+  r->phase = Phase::kHeld;
+  r->excluded.insert(lead.target);
+  r->answer.DropWaiting();
+  if (!answered) {
+    post_mortems_.push_back({r->spec.id, r->attempt, r->spec.fingerprint,
+                             lead.target, lead.boot, r->screen_home,
+                             now + config_.post_mortem});
+    r->holds_screen_slot = false;
+    actions->push_back(PollTarget{lead.target});
+  }
+  if (r->once && !parts_.mutations->retry_after_bytes_sent) {
+    Outcome outcome;
+    outcome.reason = Reason::kTargetFailed;
+    outcome.ran = r->ran();
+    outcome.detail = "the target failed after the call was sent";
+    Finish(now, r, std::move(outcome), actions);
+    return;
+  }
+  if (r->failed_sends >= config_.max_sends || !retries_.Spend()) {
+    Outcome outcome;
+    outcome.reason = Reason::kRetriesExhausted;
+    outcome.ran = r->ran();
+    outcome.retry_after = kRetryLater;
+    outcome.detail = "targets failed while running it";
+    Finish(now, r, std::move(outcome), actions);
+    return;
+  }
+  if (answered) {
+    Retry(now, r, actions);
+    return;
+  }
+  r->awaits_post_mortem = true;
+  table_.WakeAt(r, absl::InfiniteFuture());
+}
+
+void RequestFlow::Retry(absl::Time now, ActiveRequest* r, Actions* actions) {
+  r->awaits_post_mortem = false;
+  if (!r->holds_screen_slot) {
+    r->screened = false;
+    r->screen_tries = 0;
+  }
+  BeginProbing(now, r, actions);
+}
+
+void RequestFlow::OnTargetReport(absl::Time now,
+                                 const TargetId& target,
+                                 const TargetReport& report,
+                                 Actions* actions) {
+  std::vector<PostMortem> resolved;
+  const auto concerns = [&](const PostMortem& it) {
+    return it.target == target;
+  };
+  std::copy_if(post_mortems_.begin(), post_mortems_.end(),
+               std::back_inserter(resolved), concerns);
+  post_mortems_.erase(
+      std::remove_if(post_mortems_.begin(), post_mortems_.end(), concerns),
+      post_mortems_.end());
+  for (const PostMortem& it : resolved) {
+    ResolvePostMortem(now, it, it.boot != report.boot, actions);
+  }
+}
+
+void RequestFlow::OnTargetUnreachable(absl::Time now,
+                                      const TargetUnreachable& event,
+                                      Actions* actions) {
+  if (!event.refused) {
+    // A link may be down; only a refused connection or a new boot shows a
+    // death.
+    return;
+  }
+  TargetReport dead;
+  dead.boot = BootId("refused");
+  OnTargetReport(now, event.target, dead, actions);
+}
+
+void RequestFlow::ResolvePostMortem(absl::Time now,
+                                    const PostMortem& post_mortem,
+                                    bool died,
+                                    Actions* actions) {
+  if (post_mortem.fingerprint != Fingerprint(0)) {
+    std::vector<InstanceId> homes;
+    if (died) {
+      homes = RankInstances(post_mortem.fingerprint.value(),
+                            parts_.fleet->instances(), kDeathHomes);
+    }
+    const bool told = std::find(homes.begin(), homes.end(),
+                                post_mortem.screen_home) != homes.end();
+    if (!told && !post_mortem.screen_home.empty()) {
+      homes.push_back(post_mortem.screen_home);
+    }
+    const ScreenEnd end = died ? ScreenEnd::kDied : ScreenEnd::kReleased;
+    for (const InstanceId& home : homes) {
+      actions->push_back(
+          SendPeer{home, ScreenEnded{post_mortem.request, post_mortem.attempt,
+                                     post_mortem.fingerprint, end}});
+    }
+  }
+  ActiveRequest* r = table_.Find(post_mortem.request);
+  if (r != nullptr && r->awaits_post_mortem &&
+      r->attempt == post_mortem.attempt) {
+    Retry(now, r, actions);
+  }
+}
+
+void RequestFlow::OnSuspend(absl::Time now,
+                            const SuspendAttempt& suspend,
+                            Actions* actions) {
+  ActiveRequest* r = FindAttempt(suspend.request, suspend.attempt);
+  if (r == nullptr || r->once || r->spec.kind != RequestKind::kCompletion) {
+    return;
+  }
+  actions->push_back(
+      CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+  SettlePlaces(now, r, AttemptResult::kSuspended, actions);
+  r->answer.DropWaiting();
+  Hold(now, r, kSuspendPause);
+}
+
+}  // namespace umbertrail::core
