--- a/packages/core/src/node.cc
+++ b/packages/core/src/node.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/node_parts.h"
+#include "node_parts.h"
 #include "umbertrail/core/invariant.h"
 #include "umbertrail/core/request/successor.h"
 
@@ -34,11 +34,7 @@
              random,
              &config_.mutations),
       placement_(&fleet_),
-      owners_(OwnerConfig(),
-              config_.self,
-              &fleet_,
-              random,
-              &config_.mutations),
+      owners_(OwnerConfig(), config_.self, &fleet_, random, &config_.mutations),
       orders_(OrdersConfig(), &fleet_, random, &config_.mutations),
       tickets_(config_.self, signer, &config_.mutations),
       key_home_(config_.self, &fleet_, &config_.mutations),
--- a/packages/core/src/node_dispatch.cc
+++ b/packages/core/src/node_dispatch.cc
@@ -1,6 +1,6 @@
 // Hands each event and message to the concerns that it regards.
 
-#include "src/node_parts.h"
+#include "node_parts.h"
 
 namespace umbertrail::core {
 
--- a/packages/core/src/request/rendezvous.cc
+++ b/packages/core/src/request/rendezvous.cc
@@ -33,8 +33,8 @@
     scored.push_back({it.leaving, StableHash(it.id.text(), key), &it});
   }
   const std::size_t n = std::min(count, scored.size());
-  std::partial_sort(scored.begin(), scored.begin() + n, scored.end(),
-                    RanksBefore);
+  const auto middle = scored.begin() + static_cast<std::ptrdiff_t>(n);
+  std::partial_sort(scored.begin(), middle, scored.end(), RanksBefore);
   std::vector<InstanceId> ranked;
   ranked.reserve(n);
   for (std::size_t i = 0; i < n; ++i) {
