--- /dev/null
+++ b/tests/core/request_flow_test.cc
@@ -0,0 +1,361 @@
+#include <catch2/catch.hpp>
+
+#include "fake_fleet.h"
+#include "fake_signer.h"
+#include "umbertrail/core/request/request_flow.h"
+
+namespace umbertrail::core {
+namespace {
+
+const InstanceRef kSelf{InstanceId("10.0.0.1:7000"), Incarnation(1)};
+const InstanceRef kOwner{InstanceId("10.0.0.2:7000"), Incarnation(2)};
+const TargetId kFirst("t1");
+const TargetId kSecond("t2");
+
+// A flow whose peers and targets are played by the test.
+class Flow {
+ public:
+  Flow() {
+    manifest::Model model;
+    model.id = ModelId("reader");
+    model.context_limit = Tokens(1200000);
+    fleet.manifest_.models = {model};
+    manifest::ClientAccount account;
+    account.id = ClientAccountId("club");
+    account.requests_per_second = 1000;
+    account.tokens_in_flight = Tokens(10000000);
+    account.models = {model.id};
+    account.services = {ServiceId("desk")};
+    fleet.manifest_.accounts = {account};
+    fleet.manifest_.services = {
+        {ServiceId("desk"), {{"file", false}, {"look", true}}}};
+    fleet.instances_ = {{kSelf.id, DataCentreId("a"), false},
+                        {kOwner.id, DataCentreId("a"), false}};
+    fleet.owners_ = {{kFirst, {kOwner.id}}, {kSecond, {kOwner.id}}};
+    placement.candidates_ = {kFirst, kSecond};
+  }
+
+  RequestSpec Completion(const std::string& id) {
+    RequestSpec spec;
+    spec.id = RequestId(id);
+    spec.account = ClientAccountId("club");
+    spec.model = ModelId("reader");
+    spec.prompt = Tokens(2000);
+    spec.max_output = Tokens(10);
+    return spec;
+  }
+  RequestSpec Call(const std::string& id, const std::string& call) {
+    RequestSpec spec;
+    spec.id = RequestId(id);
+    spec.kind = RequestKind::kServiceCall;
+    spec.account = ClientAccountId("club");
+    spec.service = ServiceId("desk");
+    spec.call = call;
+    return spec;
+  }
+  void Arrive(RequestSpec spec, absl::Duration limit = absl::Seconds(10)) {
+    flow.OnArrived(now, {std::move(spec), limit, nullptr}, &actions);
+  }
+  // Answers every open probe: all may serve.
+  void AnswerProbes() {
+    for (const Action& it : Take()) {
+      const auto* send = std::get_if<SendPeer>(&it);
+      const auto* probe =
+          send ? std::get_if<ProbeRequest>(&send->payload) : nullptr;
+      if (probe == nullptr) {
+        continue;
+      }
+      ProbeReply reply;
+      reply.probe = probe->probe;
+      reply.target = probe->target;
+      reply.can_serve = true;
+      reply.first_token = absl::Milliseconds(probe->target == kFirst ? 10 : 20);
+      flow.OnProbeReply(now, reply, &actions);
+    }
+  }
+  AdmitRequest TakeAsk() {
+    for (const Action& it : Take()) {
+      const auto* send = std::get_if<SendPeer>(&it);
+      if (send && std::holds_alternative<AdmitRequest>(send->payload)) {
+        return std::get<AdmitRequest>(send->payload);
+      }
+    }
+    FAIL("no ask");
+    return {};
+  }
+  void Reply(const AdmitRequest& ask, AdmitDecision decision) {
+    AdmitReply reply;
+    reply.request = ask.request;
+    reply.attempt = ask.attempt;
+    reply.target = ask.target;
+    reply.sequence = ask.sequence;
+    reply.decision = decision;
+    reply.reason =
+        decision == AdmitDecision::kRefused ? Reason::kOverloaded : Reason::kOk;
+    reply.boot = BootId("boot");
+    flow.OnAdmitReply(now, kOwner, reply, &actions);
+  }
+  StartAttempt RunToStart() {
+    AnswerProbes();
+    Reply(TakeAsk(), AdmitDecision::kGranted);
+    return *Last<StartAttempt>();
+  }
+  void Fail(const StartAttempt& start, AttemptFailure failure) {
+    flow.OnAttemptFailed(now, {start.spec.id, start.attempt, failure, ""},
+                         &actions);
+  }
+  void Chunk(const StartAttempt& start, int64_t offset, int64_t n) {
+    flow.OnAttemptChunk(
+        now, {start.spec.id, start.attempt, Tokens(offset), Tokens(n), "x"},
+        &actions);
+  }
+  Actions Take() {
+    Actions taken;
+    taken.swap(actions);
+    return taken;
+  }
+  template <typename T>
+  const T* Last() {
+    last_ = Take();
+    for (auto it = last_.rbegin(); it != last_.rend(); ++it) {
+      if (const T* found = std::get_if<T>(&*it)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  FakeFleet fleet;
+  FakePlacement placement;
+  FakeSigner signer;
+  Mutations mutations;
+  std::unique_ptr<RandomSource> random = MakeSeededRandom(1);
+  TicketDesk tickets{kSelf, &signer, &mutations};
+  RedemptionArchive archive;
+  RequestFlow flow{
+      FlowConfig(),
+      kSelf,
+      {&fleet, &placement, random.get(), &tickets, &archive, &mutations}};
+  absl::Time now = absl::UnixEpoch();
+  Actions actions;
+
+ private:
+  Actions last_;
+};
+
+TEST_CASE("a prompt goes to the target that answers soonest and ends whole") {
+  Flow it;
+  it.Arrive(it.Completion("r"));
+  const StartAttempt start = it.RunToStart();
+  CHECK(start.target == kFirst);
+  it.Chunk(start, 0, 4);
+  it.Chunk(start, 4, 6);
+  it.flow.OnAttemptDone(it.now, {start.spec.id, start.attempt, Tokens(10), {}},
+                        &it.actions);
+  const auto* finish = it.Last<FinishRequest>();
+  REQUIRE(finish != nullptr);
+  CHECK(finish->outcome.reason == Reason::kOk);
+  CHECK(finish->outcome.total == Tokens(10));
+  CHECK(it.flow.Idle());
+}
+
+TEST_CASE("an answer that ends short of its total is not whole") {
+  Flow it;
+  it.Arrive(it.Completion("r"));
+  const StartAttempt start = it.RunToStart();
+  it.Chunk(start, 0, 4);
+  it.flow.OnAttemptDone(it.now, {start.spec.id, start.attempt, Tokens(10), {}},
+                        &it.actions);
+  CHECK(it.Last<FinishRequest>() == nullptr);
+  CHECK_FALSE(it.flow.Idle());
+}
+
+TEST_CASE("a broken stream goes on at its offset on another target") {
+  Flow it;
+  it.Arrive(it.Completion("r"));
+  const StartAttempt first = it.RunToStart();
+  it.Chunk(first, 0, 4);
+  it.Fail(first, AttemptFailure::kBroken);
+  it.flow.OnTargetUnreachable(it.now, {kFirst, true}, &it.actions);
+  const StartAttempt second = it.RunToStart();
+  CHECK(second.target == kSecond);
+  CHECK(second.resume_offset == Tokens(4));
+  SECTION("parts of the first attempt are dropped") {
+    it.Chunk(first, 4, 6);
+    CHECK(it.Last<RelayChunk>() == nullptr);
+  }
+}
+
+TEST_CASE("a grant that answers too late is given back unused") {
+  Flow it;
+  it.Arrive(it.Completion("r"));
+  it.AnswerProbes();
+  const AdmitRequest ask = it.TakeAsk();
+  it.now += FlowConfig().grant_window + absl::Milliseconds(1);
+  it.Reply(ask, AdmitDecision::kGranted);
+  const Actions actions = it.Take();
+  bool given_back = false;
+  for (const Action& action : actions) {
+    CHECK_FALSE(std::holds_alternative<StartAttempt>(action));
+    const auto* send = std::get_if<SendPeer>(&action);
+    if (send && std::holds_alternative<AttemptSettled>(send->payload)) {
+      const auto& settled = std::get<AttemptSettled>(send->payload);
+      given_back |= settled.result == AttemptResult::kNotStarted;
+    }
+  }
+  CHECK(given_back);
+}
+
+TEST_CASE("nothing starts on a barred target or while nothing is confirmed") {
+  Flow it;
+  it.Arrive(it.Completion("r"));
+  it.AnswerProbes();
+  const AdmitRequest ask = it.TakeAsk();
+  const bool barred = GENERATE(true, false);
+  if (barred) {
+    it.fleet.barred_ = {kFirst};
+  } else {
+    it.fleet.may_dispatch_ = false;
+  }
+  it.Reply(ask, AdmitDecision::kGranted);
+  CHECK(it.Last<StartAttempt>() == nullptr);
+}
+
+TEST_CASE("a refusal by every owner is final at once and says not run") {
+  Flow it;
+  it.Arrive(it.Completion("r"));
+  it.AnswerProbes();
+  it.Reply(it.TakeAsk(), AdmitDecision::kRefused);
+  it.AnswerProbes();
+  it.Reply(it.TakeAsk(), AdmitDecision::kRefused);
+  const auto* finish = it.Last<FinishRequest>();
+  REQUIRE(finish != nullptr);
+  CHECK(finish->outcome.reason == Reason::kOverloaded);
+  CHECK(finish->outcome.ran == Ran::kNo);
+  CHECK(finish->outcome.retry_after > absl::ZeroDuration());
+}
+
+TEST_CASE("a request ends at its deadline and frees its place") {
+  Flow it;
+  it.Arrive(it.Completion("r"), absl::Seconds(2));
+  it.RunToStart();
+  it.now += absl::Seconds(2);
+  it.flow.OnTick(it.now, &it.actions);
+  const Actions actions = it.Take();
+  bool cancelled = false;
+  bool finished = false;
+  for (const Action& action : actions) {
+    cancelled |= std::holds_alternative<CancelAttempt>(action);
+    if (const auto* finish = std::get_if<FinishRequest>(&action)) {
+      finished = true;
+      CHECK(finish->outcome.reason == Reason::kDeadlineExceeded);
+      CHECK(finish->outcome.ran == Ran::kUnknown);
+    }
+  }
+  CHECK(cancelled);
+  CHECK(finished);
+}
+
+TEST_CASE("a call that may not be repeated needs a ticket or a key") {
+  Flow it;
+  it.Arrive(it.Call("r", "file"));
+  const auto* finish = it.Last<FinishRequest>();
+  REQUIRE(finish != nullptr);
+  CHECK(finish->outcome.reason == Reason::kTicketRequired);
+  CHECK(finish->outcome.ran == Ran::kNo);
+}
+
+TEST_CASE("a ticketed call is sent once when bytes may have left") {
+  Flow it;
+  it.flow.OnTicketRequested(
+      it.now,
+      {RequestId("t"), ClientAccountId("club"), ServiceId("desk"), "file"},
+      &it.actions);
+  RequestSpec spec = it.Call("r", "file");
+  spec.ticket = it.Last<TicketIssued>()->ticket;
+  it.Arrive(spec);
+  const StartAttempt start = it.RunToStart();
+  SECTION("a broken connection ends it as unknown") {
+    it.Fail(start, AttemptFailure::kBroken);
+    const auto* finish = it.Last<FinishRequest>();
+    REQUIRE(finish != nullptr);
+    CHECK(finish->outcome.ran == Ran::kUnknown);
+    spec.id = RequestId("again");
+    it.Arrive(spec);
+    const auto* resend = it.Last<FinishRequest>();
+    REQUIRE(resend != nullptr);
+    CHECK(resend->outcome.ran == Ran::kUnknown);
+  }
+  SECTION("a refused connection lets it go elsewhere") {
+    it.Fail(start, AttemptFailure::kNotSent);
+    CHECK(it.RunToStart().target == kSecond);
+  }
+  SECTION("a resend during the run gets the same outcome") {
+    spec.id = RequestId("again");
+    it.Arrive(spec);
+    CHECK(it.Last<StartAttempt>() == nullptr);
+    it.flow.OnAttemptDone(it.now, {start.spec.id, start.attempt, Tokens(0), {}},
+                          &it.actions);
+    int finished = 0;
+    for (const Action& action : it.Take()) {
+      finished += std::holds_alternative<FinishRequest>(action) ? 1 : 0;
+    }
+    CHECK(finished == 2);
+  }
+}
+
+TEST_CASE("a ticketed submission refused early doesn't say not run") {
+  Flow it;
+  RequestSpec spec = it.Call("r", "file");
+  Ticket ticket;
+  ticket.issuer = kOwner;
+  ticket.account = spec.account;
+  spec.ticket = ticket;
+  it.flow.OnStop(it.now, &it.actions);
+  it.Arrive(spec);
+  const auto* finish = it.Last<FinishRequest>();
+  REQUIRE(finish != nullptr);
+  CHECK(finish->outcome.reason == Reason::kStopping);
+  CHECK(finish->outcome.ran == Ran::kUnknown);
+}
+
+TEST_CASE("a prompt over one engine's memory takes targets in id order") {
+  Flow it;
+  it.placement.memory_ = Tokens(400000);
+  it.placement.candidates_ = {TargetId("t1"), TargetId("t2"), TargetId("t3")};
+  it.fleet.owners_[TargetId("t3")] = {kOwner.id};
+  RequestSpec spec = it.Completion("r");
+  spec.prompt = Tokens(1000000);
+  it.Arrive(spec, absl::Minutes(5));
+  it.AnswerProbes();
+  const AdmitRequest first = it.TakeAsk();
+  CHECK(first.target == kFirst);
+  CHECK(first.purpose == AdmitPurpose::kGroupMember);
+  it.Reply(first, AdmitDecision::kGranted);
+  const AdmitRequest second = it.TakeAsk();
+  CHECK(second.target == kSecond);
+  SECTION("all granted: the last one leads") {
+    it.Reply(second, AdmitDecision::kGranted);
+    const AdmitRequest third = it.TakeAsk();
+    CHECK(third.purpose == AdmitPurpose::kRun);
+    it.Reply(third, AdmitDecision::kGranted);
+    const auto* start = it.Last<StartAttempt>();
+    REQUIRE(start != nullptr);
+    CHECK(start->group.size() == 3);
+    CHECK(start->target == TargetId("t3"));
+  }
+  SECTION("one refused: what was granted is given back") {
+    it.Reply(second, AdmitDecision::kRefused);
+    bool given_back = false;
+    for (const Action& action : it.Take()) {
+      const auto* send = std::get_if<SendPeer>(&action);
+      if (send && std::holds_alternative<AttemptSettled>(send->payload)) {
+        given_back |= std::get<AttemptSettled>(send->payload).target == kFirst;
+      }
+    }
+    CHECK(given_back);
+  }
+}
+
+}  // namespace
+}  // namespace umbertrail::core
