--- a/packages/http/src/link.cc
+++ b/packages/http/src/link.cc
@@ -193,8 +193,8 @@
     if (reading.too_large) {
       return Fault::kTooLarge;
     }
-    if (reading.stopped || (error != httplib::Error::Success &&
-                            socket_.aborted())) {
+    if (reading.stopped ||
+        (error != httplib::Error::Success && socket_.aborted())) {
       return Fault::kStopped;
     }
     const absl::Duration quiet = absl::Now() - reading.last_progress;
--- a/packages/platform/src/client.cc
+++ b/packages/platform/src/client.cc
@@ -44,8 +44,7 @@
         watch_backoff_(settings_.first_backoff,
                        settings_.longest_backoff,
                        std::move(random)),
-        watch_link_(
-            LinkTo(settings_.watch_wait + settings_.answer_timeout)),
+        watch_link_(LinkTo(settings_.watch_wait + settings_.answer_timeout)),
         part_link_(LinkTo(settings_.answer_timeout)) {}
 
   ~Impl() { Stop(); }
@@ -145,11 +144,10 @@
   // Replaces the kept lists by those of the answer. False when the answer
   // leaves out a list that is not held in its version.
   bool TakeLists(detail::WatchAnswer& watch) {
-    const bool has_instances =
-        watch.instances.has_value() ||
-        watch.instances_version == instances_.version;
-    const bool has_targets = watch.targets.has_value() ||
-                             watch.targets_version == targets_.version;
+    const bool has_instances = watch.instances.has_value() ||
+                               watch.instances_version == instances_.version;
+    const bool has_targets =
+        watch.targets.has_value() || watch.targets_version == targets_.version;
     if (!has_instances || !has_targets) {
       return false;
     }
--- a/packages/target/src/client.cc
+++ b/packages/target/src/client.cc
@@ -91,19 +91,20 @@
 
   void Cancel(const core::CancelAttempt& action) {
     const AttemptKey key{action.request, action.attempt};
-    bool engine_call = true;
     {
       absl::MutexLock lock(&mutex_);
+      if (pending_.erase(key) > 0) {
+        return;
+      }
       const auto it = running_.find(key);
       if (it != running_.end()) {
+        // Its thread tells the engine once nothing more can be written, so
+        // that the cancellation does not overtake the request.
         it->second->Cancel();
-        engine_call = it->second->IsEngineCall();
+        return;
       }
-      pending_.erase(key);
-    }
-    if (engine_call) {
-      TellCancelled(key, action.target);
     }
+    TellCancelled(key, action.target);
   }
 
   void Poll(const core::PollTarget& action) {
@@ -209,9 +210,8 @@
 
   void TellCancelled(const AttemptKey& key, const TargetId& target) {
     Enqueue([this, key, target] {
-      SendOnce(target,
-               PostCall("/v1/cancel",
-                        detail::CancelBody(key.request, key.attempt)));
+      SendOnce(target, PostCall("/v1/cancel",
+                                detail::CancelBody(key.request, key.attempt)));
     });
   }
 
--- a/packages/target/src/wire.cc
+++ b/packages/target/src/wire.cc
@@ -89,7 +89,8 @@
       report.adapters.emplace_back(it.get<std::string>());
     }
   }
-  const auto fence = static_cast<uint64_t>(NumberField(value, "fence").value_or(0));
+  const auto fence =
+      static_cast<uint64_t>(NumberField(value, "fence").value_or(0));
   report.fence = ManifestRevision(fence);
 }
 
--- /dev/null
+++ b/tests/http/fake_server.h
@@ -0,0 +1,76 @@
+#ifndef UMBERTRAIL_TESTS_HTTP_FAKE_SERVER_H_
+#define UMBERTRAIL_TESTS_HTTP_FAKE_SERVER_H_
+
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+namespace umbertrail::testing {
+
+// One accepted connection, with its bytes as they are.
+class FakeConnection {
+ public:
+  explicit FakeConnection(int socket) : socket_(socket) {}
+
+  // Reads a request with its body; empty when the client closed.
+  std::string ReadRequest();
+  void Write(std::string_view bytes);
+  // Returns when the client has closed the connection.
+  void AwaitClose();
+  // Closes with a reset.
+  void Reset();
+
+ private:
+  const int socket_;
+};
+
+// A whole answer with its length.
+std::string HttpAnswer(int status, const std::string& body);
+// The head of a chunked stream of server-sent events.
+std::string StreamHead();
+// One event in a chunk of its own.
+std::string StreamEvent(const std::string& data);
+// The end of a chunked answer.
+std::string StreamEnd();
+
+// Accepts connections on a port chosen by the kernel and runs the script for
+// each on a thread of its own.
+class FakeServer {
+ public:
+  using Script = std::function<void(FakeConnection&)>;
+
+  explicit FakeServer(Script script);
+  ~FakeServer();
+  FakeServer(const FakeServer&) = delete;
+  FakeServer& operator=(const FakeServer&) = delete;
+
+  std::string address() const;
+  int connections() const;
+
+ private:
+  void Accept();
+  void Run(int socket);
+
+  const Script script_;
+  int listener_ = -1;
+  int port_ = 0;
+  mutable absl::Mutex mutex_;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  int connections_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::set<int> open_ ABSL_GUARDED_BY(mutex_);
+  std::vector<std::thread> threads_ ABSL_GUARDED_BY(mutex_);
+  std::thread acceptor_;
+};
+
+// An address that refuses connections.
+std::string RefusingAddress();
+
+}  // namespace umbertrail::testing
+
+#endif  // UMBERTRAIL_TESTS_HTTP_FAKE_SERVER_H_
