--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -63,8 +63,7 @@
 
 void FakeConnection::Write(std::string_view bytes) {
   while (!bytes.empty()) {
-    const ssize_t n =
-        ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t n = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (n <= 0) {
       return;
     }
@@ -84,8 +83,8 @@
 }
 
 std::string HttpAnswer(int status, const std::string& body) {
-  return absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: ",
-                      body.size(), "\r\n\r\n", body);
+  return absl::StrCat("HTTP/1.1 ", status,
+                      " X\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
 }
 
 std::string StreamHead() {
--- a/tests/target/client_test.cc
+++ b/tests/target/client_test.cc
@@ -142,8 +142,7 @@
 
 TEST_CASE("a refusal that is cut off is no refusal") {
   CHECK(FailureOf("HTTP/1.1 503 X\r\nContent-Length: 100\r\n\r\n"
-                  R"({"error":"full","ran":"no"})") ==
-        AttemptFailure::kBroken);
+                  R"({"error":"full","ran":"no"})") == AttemptFailure::kBroken);
 }
 
 TEST_CASE("a stream without its explicit end is broken") {
@@ -194,11 +193,12 @@
       R"({"request_id":"other","attempt":1,"offset":0,"tokens":1,"text":"x"})";
   const std::string late_attempt =
       R"({"request_id":"r","attempt":2,"offset":0,"tokens":1,"text":"x"})";
-  Bench bench(Play(StreamHead() + StreamEvent(foreign_request) +
-                   StreamEvent(late_attempt) + StreamEvent("{oops") +
-                   StreamEvent(R"({"request_id":"r","attempt":1,"offset":-1})") +
-                   StreamEvent(kFirst) + StreamEvent(kDone) +
-                   StreamEvent(kFirst) + StreamEnd()));
+  Bench bench(
+      Play(StreamHead() + StreamEvent(foreign_request) +
+           StreamEvent(late_attempt) + StreamEvent("{oops") +
+           StreamEvent(R"({"request_id":"r","attempt":1,"offset":-1})") +
+           StreamEvent(kFirst) + StreamEvent(kDone) + StreamEvent(kFirst) +
+           StreamEnd()));
   bench.client.Start(Completion());
   bench.log.Await<core::AttemptDone>(1);
   CHECK(bench.log.All<core::AttemptChunk>().size() == 1);
--- a/tools/standins/config_main.cc
+++ b/tools/standins/config_main.cc
@@ -94,8 +94,8 @@
 }
 
 void Mount(httplib::Server& server, ConfigState& state) {
-  using Handler = void (*)(ConfigState&, const httplib::Request&,
-                           httplib::Response&);
+  using Handler =
+      void (*)(ConfigState&, const httplib::Request&, httplib::Response&);
   const auto bind = [&state](Handler handler) {
     return [&state, handler](const httplib::Request& request,
                              httplib::Response& response) {
@@ -145,8 +145,7 @@
   options.run_for = arguments.Seconds("--run-for");
   std::atomic<bool> stopping{false};
   const std::string directory = arguments.Text("--dir");
-  std::thread follower(
-      [&] { FollowDirectory(directory, state, stopping); });
+  std::thread follower([&] { FollowDirectory(directory, state, stopping); });
   const int code = Serve(server, options, [&] { state.Stop(); });
   stopping = true;
   follower.join();
@@ -157,6 +156,6 @@
 }  // namespace umbertrail::standin
 
 int main(int argc, char** argv) {
-  return umbertrail::standin::Run(umbertrail::standin::Arguments(
-      umbertrail::standin::kUsage, argc, argv));
+  return umbertrail::standin::Run(
+      umbertrail::standin::Arguments(umbertrail::standin::kUsage, argc, argv));
 }
--- a/tools/standins/engine_main.cc
+++ b/tools/standins/engine_main.cc
@@ -85,6 +85,6 @@
 }  // namespace umbertrail::standin
 
 int main(int argc, char** argv) {
-  return umbertrail::standin::Run(umbertrail::standin::Arguments(
-      umbertrail::standin::kUsage, argc, argv));
+  return umbertrail::standin::Run(
+      umbertrail::standin::Arguments(umbertrail::standin::kUsage, argc, argv));
 }
--- a/tools/standins/engine_model.cc
+++ b/tools/standins/engine_model.cc
@@ -71,8 +71,7 @@
     const double decode_speed = prefill_ran ? kDecodeSpeedBesidePrefill : 1.0;
     RunDecode(settings_.decode_per_second * seconds * decode_speed);
   }
-  if (snapshots_.empty() ||
-      now_ - snapshots_.back().at >= kSnapshotInterval) {
+  if (snapshots_.empty() || now_ - snapshots_.back().at >= kSnapshotInterval) {
     TakeSnapshot();
   }
 }
@@ -174,9 +173,8 @@
     return Refusal{"other_model", false};
   }
   const bool adapter_known =
-      request.adapter.empty() ||
-      std::find(adapters_.begin(), adapters_.end(), request.adapter) !=
-          adapters_.end();
+      request.adapter.empty() || std::find(adapters_.begin(), adapters_.end(),
+                                           request.adapter) != adapters_.end();
   if (!adapter_known) {
     return Refusal{"other_adapter", false};
   }
@@ -373,14 +371,15 @@
 
 EngineReport EngineModel::MakeReport() const {
   EngineReport report;
-  report.boot = absl::StrCat(settings_.name, "-", absl::Hex(seed_), "-", boots_);
+  report.boot =
+      absl::StrCat(settings_.name, "-", absl::Hex(seed_), "-", boots_);
   report.state = leaving_ ? "leaving" : (cold_ ? "cold" : "warm");
   for (const auto& it : streams_) {
     const Stream& stream = it.second;
     report.running += HoldsMemory(stream.phase) ? 1 : 0;
     if (IsActive(stream.phase)) {
-      report.allocations.push_back({stream.request.holder,
-                                    stream.request.request_id, stream.memory});
+      report.allocations.push_back(
+          {stream.request.holder, stream.request.request_id, stream.memory});
     }
   }
   for (const auto& it : exports_) {
--- a/tools/standins/engine_server.cc
+++ b/tools/standins/engine_server.cc
@@ -125,10 +125,7 @@
                EngineModel::StreamId id,
                AttemptName name,
                int64_t resume_from)
-      : model_(model),
-        id_(id),
-        name_(std::move(name)),
-        sent_(resume_from) {}
+      : model_(model), id_(id), name_(std::move(name)), sent_(resume_from) {}
 
   ~StreamWriter() { model_.Release(id_); }
 
--- a/tools/standins/server.cc
+++ b/tools/standins/server.cc
@@ -42,7 +42,9 @@
 }  // namespace
 
 void Configure(httplib::Server& server) {
-  server.new_task_queue = [] { return new httplib::ThreadPool(kHandlerThreads); };
+  server.new_task_queue = [] {
+    return new httplib::ThreadPool(kHandlerThreads);
+  };
   server.set_payload_max_length(kMaxRequestBytes);
   server.set_keep_alive_max_count(kCallsPerConnection);
   server.set_keep_alive_timeout(kIdleSeconds);
--- a/tools/standins/service_main.cc
+++ b/tools/standins/service_main.cc
@@ -60,10 +60,10 @@
       absl::SleepFor(kSilenceCheck);
     }
     --running_;
-    Answer(response, {{"call", std::string(request.matches[1])},
-                      {"run", run},
-                      {"body_hash",
-                       absl::StrCat(absl::Hex(StableHash(request.body)))}});
+    Answer(response,
+           {{"call", std::string(request.matches[1])},
+            {"run", run},
+            {"body_hash", absl::StrCat(absl::Hex(StableHash(request.body)))}});
   }
 
   void Report(const httplib::Request&, httplib::Response& response) {
@@ -134,6 +134,6 @@
 }  // namespace umbertrail::standin
 
 int main(int argc, char** argv) {
-  return umbertrail::standin::Run(umbertrail::standin::Arguments(
-      umbertrail::standin::kUsage, argc, argv));
+  return umbertrail::standin::Run(
+      umbertrail::standin::Arguments(umbertrail::standin::kUsage, argc, argv));
 }
--- a/tools/standins/weights_main.cc
+++ b/tools/standins/weights_main.cc
@@ -71,15 +71,15 @@
   LoadPlaces places(static_cast<int>(arguments.Number("--loads")), time);
   httplib::Server server;
   Configure(server);
-  server.Post("/v1/loads", [&](const httplib::Request&,
-                               httplib::Response& response) {
-    if (!places.Take(absl::Now())) {
-      response.status = kUnavailable;
-      Answer(response, {{"error", "busy"}});
-      return;
-    }
-    Answer(response, {{"ms", absl::ToInt64Milliseconds(time)}});
-  });
+  server.Post("/v1/loads",
+              [&](const httplib::Request&, httplib::Response& response) {
+                if (!places.Take(absl::Now())) {
+                  response.status = kUnavailable;
+                  Answer(response, {{"error", "busy"}});
+                  return;
+                }
+                Answer(response, {{"ms", absl::ToInt64Milliseconds(time)}});
+              });
   server.Get("/standin/counters",
              [&](const httplib::Request&, httplib::Response& response) {
                Answer(response, places.Counters());
@@ -94,6 +94,6 @@
 }  // namespace umbertrail::standin
 
 int main(int argc, char** argv) {
-  return umbertrail::standin::Run(umbertrail::standin::Arguments(
-      umbertrail::standin::kUsage, argc, argv));
+  return umbertrail::standin::Run(
+      umbertrail::standin::Arguments(umbertrail::standin::kUsage, argc, argv));
 }
