--- /dev/null
+++ b/packages/manifest/include/umbertrail/manifest.h
@@ -0,0 +1,15 @@
+#ifndef UMBERTRAIL_MANIFEST_H_
+#define UMBERTRAIL_MANIFEST_H_
+
+// Public header of the `manifest` package: the declared state of a fleet, how
+// it is read and checked, split for publishing, compared and how account keys
+// are verified.
+
+#include "umbertrail/manifest/diff.h"
+#include "umbertrail/manifest/fault.h"
+#include "umbertrail/manifest/keys.h"
+#include "umbertrail/manifest/parse.h"
+#include "umbertrail/manifest/schema.h"
+#include "umbertrail/manifest/split.h"
+
+#endif  // UMBERTRAIL_MANIFEST_H_
