--- a/packages/security/include/umbertrail/security/key_file.h
+++ b/packages/security/include/umbertrail/security/key_file.h
@@ -17,7 +17,7 @@
 // Keys that one file may hold; two are enough for a change of keys.
 inline constexpr size_t kMaxKeys = 16;
 // Largest key file that is read, in bytes.
-inline constexpr size_t kMaxKeyFileBytes = 64 * 1024;
+inline constexpr size_t kMaxKeyFileBytes = size_t{64} * 1024;
 
 // One named secret.
 struct Key {
--- a/tests/security/certificate_test.cc
+++ b/tests/security/certificate_test.cc
@@ -21,7 +21,7 @@
 using CertificatePtr = std::unique_ptr<X509, decltype(&X509_free)>;
 using FilePtr = std::unique_ptr<std::FILE, decltype(&std::fclose)>;
 
-constexpr long kDay = 24 * 60 * 60;
+constexpr long kDay = 24L * 60 * 60;
 
 FilePtr OpenFile(const TempFile& file) {
   return FilePtr(std::fopen(file.path().c_str(), "w"), std::fclose);
