Telemetry: a probe's request is found by its deadline

One round of probes shares a number, and timers may send a round while an event of another request is handled. Probes are kept by number and target, and the deadline that they carry names their request.

--- a/packages/telemetry/src/live_request.h
+++ b/packages/telemetry/src/live_request.h
@@ -34,6 +34,7 @@
   ClientAccountId account;
   Tokens prompt;
   absl::Time arrived;
+  absl::Time deadline;
   // Numbers this request's spans.
   uint64_t spans = 0;
 
--- a/packages/telemetry/src/node_observer.cc
+++ b/packages/telemetry/src/node_observer.cc
@@ -125,9 +125,12 @@
     RequestId request;
     OpenHop hop;
   };
+  // Probes of one round share their number and differ by target.
+  using ProbeKey = std::pair<uint64_t, TargetId>;
 
   absl::Time Wall() const { return now_ + options_.wall_offset; }
   LiveRequest* FindLive(const RequestId& id);
+  RequestId ProberOf(const core::ProbeRequest& message);
   void BeginLive(const core::RequestSpec& spec,
                  absl::Duration time_limit,
                  const InstanceId& forwarded_by);
@@ -167,8 +170,8 @@
   RequestId subject_;
   absl::flat_hash_map<RequestId, TraceContext> caller_contexts_;
   absl::flat_hash_map<RequestId, LiveRequest> live_;
-  absl::flat_hash_map<uint64_t, OpenProbe> probes_;
-  std::deque<uint64_t> probe_order_;
+  absl::flat_hash_map<ProbeKey, OpenProbe> probes_;
+  std::deque<ProbeKey> probe_order_;
   absl::flat_hash_map<TargetId, DataCentreId> data_centres_;
   absl::flat_hash_set<TargetId> unreachable_targets_;
   bool config_unreachable_ = false;
@@ -247,6 +250,7 @@
   live.account = spec.account;
   live.prompt = spec.prompt;
   live.arrived = now_;
+  live.deadline = now_ + time_limit;
   live.root = NextSpan(spec.id, live);
 
   RequestHistory history;
@@ -505,7 +509,7 @@
 
 void NodeObserver::Impl::Receive(const InstanceId& from,
                                  const core::ProbeReply& message) {
-  const auto it = probes_.find(message.probe);
+  const auto it = probes_.find(ProbeKey(message.probe, message.target));
   if (it == probes_.end()) {
     return;
   }
@@ -703,22 +707,38 @@
 
 // -- Messages that go
 
+RequestId NodeObserver::Impl::ProberOf(const core::ProbeRequest& message) {
+  // A probe names no request, and timers may send one while an event of
+  // another request is handled: the deadline tells whose it is.
+  const absl::Time deadline = now_ + message.time_left;
+  const LiveRequest* subject = FindLive(subject_);
+  if (subject != nullptr && subject->deadline == deadline) {
+    return subject_;
+  }
+  for (const auto& [id, live] : live_) {
+    if (live.deadline == deadline) {
+      return id;
+    }
+  }
+  return RequestId();
+}
+
 void NodeObserver::Impl::Send(const InstanceId& to,
                               const core::ProbeRequest& message) {
-  // A probe names no request; it goes out while its request is handled.
-  LiveRequest* live = FindLive(subject_);
+  const RequestId id = ProberOf(message);
+  LiveRequest* live = FindLive(id);
   if (live == nullptr) {
     return;
   }
-  sinks_.histories->AddStep(subject_, Wall(),
-                            ProbeSentStep{to, message.target});
+  sinks_.histories->AddStep(id, Wall(), ProbeSentStep{to, message.target});
   OpenProbe probe;
-  probe.request = subject_;
-  probe.hop = Open(subject_, *live);
+  probe.request = id;
+  probe.hop = Open(id, *live);
   probe.hop.peer = to;
   probe.hop.target = message.target;
-  probes_[message.probe] = std::move(probe);
-  probe_order_.push_back(message.probe);
+  const ProbeKey key(message.probe, message.target);
+  probes_[key] = std::move(probe);
+  probe_order_.push_back(key);
   if (probe_order_.size() > kOpenProbeLimit) {
     probes_.erase(probe_order_.front());
     probe_order_.pop_front();
--- a/tests/telemetry/node_observer_test.cc
+++ b/tests/telemetry/node_observer_test.cc
@@ -90,6 +90,7 @@
   core::ProbeRequest probe;
   probe.probe = 77;
   probe.target = TargetId("t");
+  probe.time_left = absl::Seconds(30);
   f.Feed(Arrival(), {core::SendPeer{InstanceId("owner"), probe}});
   core::ProbeReply reply;
   reply.probe = 77;
@@ -183,6 +184,18 @@
   CHECK(f.log.records.back().trace_id == ToHex(TraceOf(RequestId("r"))));
 }
 
+TEST_CASE("a probe sent by a timer goes to the request of its deadline") {
+  Fixture f;
+  f.Feed(Arrival(), {});
+  core::RequestArrived other = Arrival();
+  other.spec.id = RequestId("other");
+  core::ProbeRequest probe;
+  probe.time_left = absl::Seconds(30) - absl::Milliseconds(10);
+  f.Feed(other, {core::SendPeer{InstanceId("owner"), probe}});
+  CHECK(f.histories.Find(RequestId("r")).at(0).steps.size() == 1);
+  CHECK(f.histories.Find(RequestId("other")).at(0).steps.empty());
+}
+
 TEST_CASE("an attempt's context names its span while it runs") {
   Fixture f;
   core::StartAttempt start;
