--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 
 lint: build
 	@tools/lint.sh $(BUILD)
+
+SEEDS ?= 10000
+soak: build
+	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
