--- /dev/null
+++ b/packages/core/src/fleet/ownership.cc
@@ -0,0 +1,214 @@
+#include "umbertrail/core/fleet/ownership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace umbertrail::core {
+namespace {
+
+// Draws of an instance in the target's own data centre, against one elsewhere
+// in the region.
+constexpr int kNearDraws = 4;
+
+// Spreads one hash into a further one (the finaliser of splitmix64).
+uint64_t Mix(uint64_t n) {
+  n += 0x9e3779b97f4a7c15ULL;
+  n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  n = (n ^ (n >> 27)) * 0x94d049bb133111ebULL;
+  return n ^ (n >> 31);
+}
+
+RegionId RegionOf(const std::map<DataCentreId, RegionId>& regions,
+                  const DataCentreId& data_centre) {
+  const auto it = regions.find(data_centre);
+  return it == regions.end() ? RegionId() : it->second;
+}
+
+}  // namespace
+
+uint64_t OwnerScore(const TargetId& target,
+                    const InstanceInfo& instance,
+                    const DataCentreId& target_data_centre) {
+  const uint64_t seed = StableHash(target.text());
+  uint64_t draw = StableHash(instance.id.text(), seed);
+  uint64_t best = draw;
+  const int draws = instance.data_centre == target_data_centre ? kNearDraws : 1;
+  for (int i = 1; i < draws; ++i) {
+    draw = Mix(draw);
+    best = std::max(best, draw);
+  }
+  return best;
+}
+
+Ownership::Ownership(const FleetConfig& config,
+                     InstanceId self,
+                     const Membership* membership,
+                     const Mutations* mutations)
+    : config_(config),
+      self_(std::move(self)),
+      membership_(membership),
+      mutations_(mutations) {}
+
+void Ownership::OnListsChanged(absl::Time now,
+                               const manifest::Manifest* manifest) {
+  std::map<DataCentreId, RegionId> regions;
+  if (manifest != nullptr) {
+    for (const manifest::DataCentre& it : manifest->data_centres) {
+      regions[it.id] = it.region;
+    }
+  }
+  std::map<TargetId, Place> former = std::move(places_);
+  places_.clear();
+  for (const TargetInfo& it : membership_->targets()) {
+    Place& place = places_[it.id];
+    place.first_since = former[it.id].first_since;
+    SortOrder(it, regions, &place);
+  }
+  OnMarksChanged(now);
+}
+
+void Ownership::OnMarksChanged(absl::Time now) {
+  for (auto& [id, place] : places_) {
+    UpdatePlace(now, &place);
+  }
+}
+
+void Ownership::OnPause(absl::Time now) {
+  for (auto& [id, place] : places_) {
+    if (place.first_since != absl::InfiniteFuture()) {
+      place.first_since = now;
+    }
+  }
+}
+
+std::vector<InstanceId> Ownership::Ranking(const TargetId& target) const {
+  const auto it = places_.find(target);
+  if (it == places_.end()) {
+    return {};
+  }
+  std::vector<InstanceId> live;
+  std::vector<InstanceId> rest;
+  for (const uint16_t i : it->second.order) {
+    const InstanceId& id = IdAt(i);
+    const bool doubtful =
+        membership_->InstanceLeaving(id) || membership_->InstanceDead(id);
+    if (!doubtful) {
+      live.push_back(id);
+    } else if (rest.size() < kMaxRanking) {
+      rest.push_back(id);
+    }
+    if (live.size() == kMaxRanking) {
+      return live;
+    }
+  }
+  const size_t room = std::min(rest.size(), kMaxRanking - live.size());
+  live.insert(live.end(), rest.begin(), rest.begin() + room);
+  return live;
+}
+
+OwnerClaim Ownership::ClaimOf(const TargetId& target, absl::Time now) const {
+  const auto it = places_.find(target);
+  if (it == places_.end() || it->second.first_since == absl::InfiniteFuture()) {
+    return OwnerClaim::kNone;
+  }
+  const Place& place = it->second;
+  const bool settled = now - place.first_since >= config_.list_lag;
+  if (!settled && !mutations_->skip_cold_settling) {
+    return OwnerClaim::kSettling;
+  }
+  // Of three that don't hear each other only two may hold half each.
+  if (place.dead_before > 1) {
+    return OwnerClaim::kSettling;
+  }
+  const bool contested = place.dead_before > 0 || place.next_dead;
+  return contested || !Confirmed(now, place) ? OwnerClaim::kHalf
+                                             : OwnerClaim::kFull;
+}
+
+std::vector<InstanceId> Ownership::Rivals() const {
+  std::set<InstanceId> rivals;
+  for (const auto& [target, place] : places_) {
+    std::vector<InstanceId> top;
+    for (const uint16_t i : place.order) {
+      if (top.size() == 2) {
+        break;
+      }
+      if (!membership_->InstanceLeaving(IdAt(i))) {
+        top.push_back(IdAt(i));
+      }
+    }
+    if (std::find(top.begin(), top.end(), self_) != top.end()) {
+      rivals.insert(top.begin(), top.end());
+    }
+  }
+  rivals.erase(self_);
+  return {rivals.begin(), rivals.end()};
+}
+
+void Ownership::SortOrder(const TargetInfo& target,
+                          const std::map<DataCentreId, RegionId>& regions,
+                          Place* place) const {
+  const RegionId region = RegionOf(regions, target.data_centre);
+  std::vector<std::pair<uint64_t, uint16_t>> scored;
+  std::vector<std::pair<uint64_t, uint16_t>> elsewhere;
+  const std::vector<InstanceInfo>& instances = membership_->instances();
+  for (uint16_t i = 0; i < instances.size(); ++i) {
+    const bool near = RegionOf(regions, instances[i].data_centre) == region;
+    const uint64_t score =
+        OwnerScore(target.id, instances[i], target.data_centre);
+    (near ? scored : elsewhere).emplace_back(score, i);
+  }
+  // A region without instances is served from the others.
+  if (scored.empty()) {
+    scored = std::move(elsewhere);
+  }
+  std::sort(scored.begin(), scored.end(), std::greater<>());
+  place->order.reserve(scored.size());
+  for (const auto& [score, index] : scored) {
+    place->order.push_back(index);
+  }
+}
+
+void Ownership::UpdatePlace(absl::Time now, Place* place) const {
+  bool found = false;
+  bool ended = false;
+  place->dead_before = 0;
+  place->next_dead = false;
+  // Instances that leave come after all others.
+  for (const bool leaving : {false, true}) {
+    for (const uint16_t i : place->order) {
+      const InstanceId& id = IdAt(i);
+      if (ended || membership_->InstanceLeaving(id) != leaving) {
+        continue;
+      }
+      const bool dead = membership_->InstanceDead(id);
+      if (found) {
+        place->next_dead = dead;
+        ended = true;
+      } else if (id == self_) {
+        found = true;
+      } else if (dead) {
+        ++place->dead_before;
+      } else {
+        ended = true;
+      }
+    }
+    ended = ended || found;
+  }
+  place->first_since =
+      found ? std::min(place->first_since, now) : absl::InfiniteFuture();
+}
+
+bool Ownership::Confirmed(absl::Time now, const Place& place) const {
+  const absl::Time read_at = membership_->instances_read_at();
+  return read_at >= place.first_since &&
+         now - read_at <= config_.list_confirm_limit &&
+         !membership_->ListDoubted(now);
+}
+
+const InstanceId& Ownership::IdAt(uint16_t index) const {
+  return membership_->instances()[index].id;
+}
+
+}  // namespace umbertrail::core
