Screening by two homes that must agree

Change: runs are counted by request and attempt, both homes must agree, an instance that stands in allows one less, and a stopping owner's refusal no longer excludes its target. Ruled out: gossip of deaths (copies sent at once are out before the first is known).

--- a/packages/core/include/umbertrail/core/request/active_request.h
+++ b/packages/core/include/umbertrail/core/request/active_request.h
@@ -70,10 +70,12 @@
 
   // Screening.
   bool screened = false;
-  bool holds_screen_slot = false;
   bool suspect = false;
-  InstanceId screen_home;
-  int screen_tries = 0;
+  // The homes asked for the present run; they count it until they are told
+  // its end.
+  std::vector<InstanceId> screen_homes;
+  std::set<InstanceId> screen_agreed;
+  AttemptNumber screen_attempt{0};
 
   // Admission.
   uint32_t sequence = 0;
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -90,6 +90,7 @@
                  const SuspendAttempt& suspend,
                  Actions* actions);
   void OnScreenReply(absl::Time now,
+                     const InstanceRef& from,
                      const ScreenReply& reply,
                      Actions* actions);
   void OnKeyGrantReply(absl::Time now,
@@ -144,7 +145,8 @@
     Fingerprint fingerprint;
     TargetId target;
     BootId boot;
-    InstanceId screen_home;
+    std::vector<InstanceId> screen_homes;
+    AttemptNumber screen_attempt;
     absl::Time until;
   };
 
@@ -178,8 +180,24 @@
   void ForgetProbe(ActiveRequest* r);
   std::vector<TargetId> ChooseProbed(const ActiveRequest& r,
                                      std::vector<TargetId> candidates);
-  void SendScreen(absl::Time now, ActiveRequest* r, Actions* actions);
+  void BeginScreen(absl::Time now, ActiveRequest* r, Actions* actions);
+  void AskScreen(absl::Time now,
+                 ActiveRequest* r,
+                 const InstanceId& home,
+                 Actions* actions);
+  void OnScreenUnreachable(absl::Time now,
+                           ActiveRequest* r,
+                           const InstanceId& home,
+                           Actions* actions);
+  void OnScreenSilent(absl::Time now, ActiveRequest* r, Actions* actions);
   void DecideProbes(absl::Time now, ActiveRequest* r, Actions* actions);
+  void OnTooFewServing(absl::Time now,
+                       ActiveRequest* r,
+                       std::size_t serving,
+                       Actions* actions);
+  void ExcludeAfter(Reason refusal,
+                    const TargetId& target,
+                    ActiveRequest* r) const;
   const ProbeState* BestProbe(absl::Time now, const ActiveRequest& r) const;
   void OnNoCandidate(absl::Time now, ActiveRequest* r, Actions* actions);
   void Hold(absl::Time now, ActiveRequest* r, absl::Duration pause);
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -14,7 +14,8 @@
 
 // The home of some fingerprints: counts the open runs and the deaths of each,
 // so that copies of one content sent through any instances kill at most
-// kDeathLimit targets. Content that has run to its end is not limited again
+// kDeathLimit targets. An instance that stands in for homes out of reach allows
+// one less. Content that has run to its end is not limited again
 // until a target dies under it.
 class ScreenHome {
  public:
@@ -24,9 +25,13 @@
   // At 200 bytes an entry this stays far under a node's memory limit.
   static constexpr std::size_t kMaxEntries = 50000;
 
-  explicit ScreenHome(const Mutations* mutations);
+  // `fleet` and `mutations` must outlive the home.
+  ScreenHome(InstanceId self,
+             const FleetView* fleet,
+             const Mutations* mutations);
 
-  // Asking again for a request that holds a run is idempotent.
+  // Asking again for a run that is open is idempotent. A later attempt of the
+  // same request is another run: the end of the former may still be on its way.
   ScreenReply OnRequest(absl::Time now,
                         const InstanceRef& from,
                         const ScreenRequest& request);
@@ -45,6 +50,7 @@
   struct Run {
     InstanceRef holder;
     RequestId request;
+    AttemptNumber attempt;
     absl::Time expires;
   };
   struct Entry {
@@ -54,9 +60,13 @@
     std::vector<Run> runs;
   };
 
-  ScreenVerdict Judge(const Entry& entry) const;
+  // How many open runs and deaths it allows in sum.
+  uint32_t LimitFor(Fingerprint fingerprint) const;
+  ScreenVerdict Judge(const Entry& entry, uint32_t limit) const;
   void DropExpiredRuns(absl::Time now, Entry* entry) const;
 
+  InstanceId self_;
+  const FleetView* fleet_;
   const Mutations* mutations_;
   std::map<Fingerprint, Entry> entries_;
   absl::Time swept_ = absl::InfinitePast();
--- a/packages/core/request.cmake
+++ b/packages/core/request.cmake
@@ -1,6 +1,7 @@
 list(APPEND core_sources
   src/request/account_limits.cc
   src/request/answer_assembler.cc
+  src/request/fleet_placement.cc
   src/request/flow_admission.cc
   src/request/flow_arrival.cc
   src/request/flow_attempt.cc
--- a/packages/core/src/node_dispatch.cc
+++ b/packages/core/src/node_dispatch.cc
@@ -205,8 +205,7 @@
                     From from,
                     ScreenReply message,
                     Actions* actions) {
-  static_cast<void>(from);
-  flow_.OnScreenReply(now, message, actions);
+  flow_.OnScreenReply(now, from, message, actions);
 }
 
 void Node::Impl::On(absl::Time now,
--- a/packages/core/src/request/flow_admission.cc
+++ b/packages/core/src/request/flow_admission.cc
@@ -144,13 +144,12 @@
   }
   r->predicted_first_token = reply.first_token;
   if (reply.decision == AdmitDecision::kRefused) {
-    r->last_refusal = reply.reason;
+    ExcludeAfter(reply.reason, reply.target, r);
     if (reply.retry_after > absl::ZeroDuration()) {
       r->soonest_retry =
           std::min(reply.retry_after,
                    r->soonest_retry.value_or(absl::InfiniteDuration()));
     }
-    r->excluded.insert(reply.target);
     TryElsewhere(now, r, actions);
     return;
   }
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -1,7 +1,7 @@
 // Attempts: relays an answer in order and decides what a failure means.
 
 #include <algorithm>
-#include <cmath>
+#include <set>
 
 #include "umbertrail/core/invariant.h"
 #include "umbertrail/core/request/rendezvous.h"
@@ -12,7 +12,7 @@
 
 constexpr absl::Duration kRetryLater = absl::Seconds(2);
 // Homes that remember a death, so that one of them replaced forgets nothing.
-constexpr std::size_t kDeathHomes = 2;
+constexpr std::size_t kDeathHomes = 3;
 constexpr absl::Duration kSuspendPause = absl::Milliseconds(100);
 
 }  // namespace
@@ -149,9 +149,11 @@
   r->answer.DropWaiting();
   if (!answered) {
     post_mortems_.push_back({r->spec.id, r->attempt, r->spec.fingerprint,
-                             lead.target, lead.boot, r->screen_home,
-                             now + config_.post_mortem});
-    r->holds_screen_slot = false;
+                             lead.target, lead.boot, r->screen_homes,
+                             r->screen_attempt, now + config_.post_mortem});
+    r->screen_homes.clear();
+    r->screen_agreed.clear();
+    r->screened = false;
     actions->push_back(PollTarget{lead.target});
   }
   if (r->once && !parts_.mutations->retry_after_bytes_sent) {
@@ -181,10 +183,6 @@
 
 void RequestFlow::Retry(absl::Time now, ActiveRequest* r, Actions* actions) {
   r->awaits_post_mortem = false;
-  if (!r->holds_screen_slot) {
-    r->screened = false;
-    r->screen_tries = 0;
-  }
   BeginProbing(now, r, actions);
 }
 
@@ -224,21 +222,19 @@
                                     bool died,
                                     Actions* actions) {
   if (post_mortem.fingerprint != Fingerprint(0)) {
-    std::vector<InstanceId> homes;
+    // A death is remembered also by homes that did not know of the run.
+    std::set<InstanceId> homes(post_mortem.screen_homes.begin(),
+                               post_mortem.screen_homes.end());
     if (died) {
-      homes = RankInstances(post_mortem.fingerprint.value(),
-                            parts_.fleet->instances(), kDeathHomes);
-    }
-    const bool told = std::find(homes.begin(), homes.end(),
-                                post_mortem.screen_home) != homes.end();
-    if (!told && !post_mortem.screen_home.empty()) {
-      homes.push_back(post_mortem.screen_home);
+      const auto ranked = RankInstances(post_mortem.fingerprint.value(),
+                                        parts_.fleet->instances(), kDeathHomes);
+      homes.insert(ranked.begin(), ranked.end());
     }
     const ScreenEnd end = died ? ScreenEnd::kDied : ScreenEnd::kReleased;
     for (const InstanceId& home : homes) {
-      actions->push_back(
-          SendPeer{home, ScreenEnded{post_mortem.request, post_mortem.attempt,
-                                     post_mortem.fingerprint, end}});
+      actions->push_back(SendPeer{
+          home, ScreenEnded{post_mortem.request, post_mortem.screen_attempt,
+                            post_mortem.fingerprint, end}});
     }
   }
   ActiveRequest* r = table_.Find(post_mortem.request);
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -67,13 +67,13 @@
 void RequestFlow::ReleaseScreen(ActiveRequest* r,
                                 ScreenEnd end,
                                 Actions* actions) {
-  if (!r->holds_screen_slot) {
-    return;
+  for (const InstanceId& home : r->screen_homes) {
+    actions->push_back(SendPeer{home, ScreenEnded{r->spec.id, r->screen_attempt,
+                                                  r->spec.fingerprint, end}});
   }
-  r->holds_screen_slot = false;
-  actions->push_back(
-      SendPeer{r->screen_home,
-               ScreenEnded{r->spec.id, r->attempt, r->spec.fingerprint, end}});
+  r->screen_homes.clear();
+  r->screen_agreed.clear();
+  r->screened = false;
 }
 
 void RequestFlow::OnCallerGone(absl::Time now,
@@ -104,8 +104,8 @@
     const bool asked = r->asking.owner == peer;
     switch (r->phase) {
       case Phase::kProbing:
-        if (!r->screened && r->screen_home == peer) {
-          SendScreen(now, r, actions);
+        if (!r->screened) {
+          OnScreenUnreachable(now, r, peer, actions);
         }
         for (ProbeState& it : r->probes) {
           if (it.owner == peer && !it.reply.has_value()) {
@@ -141,6 +141,23 @@
   }
 }
 
+void RequestFlow::OnScreenUnreachable(absl::Time now,
+                                      ActiveRequest* r,
+                                      const InstanceId& home,
+                                      Actions* actions) {
+  const auto it =
+      std::find(r->screen_homes.begin(), r->screen_homes.end(), home);
+  if (it == r->screen_homes.end()) {
+    return;
+  }
+  r->screen_homes.erase(it);
+  if (r->screen_homes.empty()) {
+    AskScreen(now, r, self_.id, actions);
+  } else if (r->screen_agreed.size() >= r->screen_homes.size()) {
+    r->screened = true;
+  }
+}
+
 void RequestFlow::OnStop(absl::Time now, Actions* actions) {
   stopping_ = true;
   if (!parts_.mutations->cut_on_stop) {
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -14,10 +14,12 @@
 constexpr absl::Duration kNoTargetRetry = absl::Seconds(2);
 constexpr absl::Duration kUnfreshPause = absl::Milliseconds(50);
 constexpr absl::Duration kSilentPause = absl::Milliseconds(100);
+constexpr absl::Duration kGroupPause = absl::Milliseconds(400);
 constexpr absl::Duration kScreenWait = absl::Milliseconds(200);
 // Rounds of probes before a request that has not begun is refused.
-constexpr int kMaxRounds = 3;
-constexpr int kMaxScreenHomes = 2;
+constexpr int kMaxRounds = 8;
+// Both must agree, so that one of them replaced forgets no open run.
+constexpr std::size_t kScreenHomes = 2;
 // Memory that a group's member leaves free for the engine's own overhead.
 constexpr double kGroupFill = 0.9;
 
@@ -104,8 +106,8 @@
     return;
   }
   table_.WakeAt(r, now + config_.probe_patience);
-  if (!r->screened) {
-    SendScreen(now, r, actions);
+  if (!r->screened && r->screen_homes.empty()) {
+    BeginScreen(now, r, actions);
   }
 }
 
@@ -155,37 +157,45 @@
   return candidates;
 }
 
-void RequestFlow::SendScreen(absl::Time now,
-                             ActiveRequest* r,
-                             Actions* actions) {
+void RequestFlow::BeginScreen(absl::Time now,
+                              ActiveRequest* r,
+                              Actions* actions) {
   if (r->spec.fingerprint == Fingerprint(0)) {
     r->screened = true;
     return;
   }
+  r->screen_attempt = r->attempt;
   const auto homes = RankInstances(r->spec.fingerprint.value(),
-                                   parts_.fleet->instances(), kMaxScreenHomes);
-  if (r->screen_tries >= static_cast<int>(homes.size())) {
-    // No home answers: the bound on this request's own failures remains.
-    r->screened = true;
-    return;
+                                   parts_.fleet->instances(), kScreenHomes);
+  for (const InstanceId& home : homes) {
+    AskScreen(now, r, home, actions);
+  }
+  if (homes.empty()) {
+    AskScreen(now, r, self_.id, actions);
   }
-  r->screen_home = homes[r->screen_tries];
-  ++r->screen_tries;
-  actions->push_back(SendPeer{
-      r->screen_home, ScreenRequest{r->spec.id, r->attempt, r->spec.fingerprint,
-                                    r->TimeLeft(now)}});
+}
+
+void RequestFlow::AskScreen(absl::Time now,
+                            ActiveRequest* r,
+                            const InstanceId& home,
+                            Actions* actions) {
+  r->screen_homes.push_back(home);
+  actions->push_back(
+      SendPeer{home, ScreenRequest{r->spec.id, r->screen_attempt,
+                                   r->spec.fingerprint, r->TimeLeft(now)}});
 }
 
 void RequestFlow::OnScreenReply(absl::Time now,
+                                const InstanceRef& from,
                                 const ScreenReply& reply,
                                 Actions* actions) {
   ActiveRequest* r = table_.Find(reply.request);
   const bool expected = r != nullptr && r->phase == Phase::kProbing &&
-                        !r->screened && r->attempt == reply.attempt;
+                        !r->screened && r->screen_attempt == reply.attempt;
   if (!expected) {
     return;
   }
-  r->suspect = reply.deaths > 0;
+  r->suspect = r->suspect || reply.deaths > 0;
   if (reply.verdict == ScreenVerdict::kQuarantined) {
     Outcome outcome;
     outcome.reason = Reason::kQuarantined;
@@ -195,15 +205,35 @@
     return;
   }
   if (reply.verdict == ScreenVerdict::kWait) {
-    r->screen_tries = 0;
+    // Two requests must not each hold one home and wait for the other.
+    ReleaseScreen(r, ScreenEnd::kReleased, actions);
     Hold(now, r, kScreenWait);
     return;
   }
+  r->screen_agreed.insert(from.id);
+  if (r->screen_agreed.size() < r->screen_homes.size()) {
+    return;
+  }
   r->screened = true;
-  r->holds_screen_slot = true;
   DecideProbes(now, r, actions);
 }
 
+void RequestFlow::OnScreenSilent(absl::Time now,
+                                 ActiveRequest* r,
+                                 Actions* actions) {
+  if (!r->screen_agreed.empty()) {
+    r->screened = true;
+    return;
+  }
+  const bool asked_self =
+      std::find(r->screen_homes.begin(), r->screen_homes.end(), self_.id) !=
+      r->screen_homes.end();
+  if (!asked_self) {
+    // No home is in reach; this instance stands in, with a tighter limit.
+    AskScreen(now, r, self_.id, actions);
+  }
+}
+
 void RequestFlow::OnProbeReply(absl::Time now,
                                const ProbeReply& reply,
                                Actions* actions) {
@@ -239,7 +269,7 @@
   if (!r->screened) {
     if (over) {
       r->probing_since = now;
-      SendScreen(now, r, actions);
+      OnScreenSilent(now, r, actions);
     }
     if (!r->screened) {
       table_.WakeAt(r, r->probing_since + config_.probe_wait);
@@ -252,17 +282,11 @@
       continue;
     }
     if (!it.reply->can_serve) {
-      r->excluded.insert(it.target);
-      r->last_refusal = it.reply->reason;
+      ExcludeAfter(it.reply->reason, it.target, r);
     }
   }
   if (serving < r->group_size) {
-    const bool silent = serving == 0 && !AllReplied(r->probes);
-    if (silent && r->probe_rounds < kMaxRounds) {
-      Hold(now, r, kSilentPause);
-      return;
-    }
-    BeginProbing(now, r, actions);
+    OnTooFewServing(now, r, serving, actions);
     return;
   }
   if (r->group_size > 1) {
@@ -282,6 +306,47 @@
          "no target can finish it in its time", actions);
 }
 
+void RequestFlow::OnTooFewServing(absl::Time now,
+                                  ActiveRequest* r,
+                                  std::size_t serving,
+                                  Actions* actions) {
+  if (r->group_size > 1) {
+    // Its targets come free one by one; it tries again for half of its time,
+    // so that a refusal still leaves the caller some.
+    const bool time_is_short = now - r->arrived > (r->deadline - now);
+    if (time_is_short && r->sends == 0) {
+      Refuse(now, r, Reason::kOverloaded, kOverloadRetry,
+             "too few targets are free at once", actions);
+      return;
+    }
+    r->excluded.clear();
+    Hold(now, r, kGroupPause);
+    return;
+  }
+  const bool silent = serving == 0 && !AllReplied(r->probes);
+  const bool passes = silent || r->last_refusal == Reason::kStopping;
+  if (passes && r->probe_rounds < kMaxRounds) {
+    Hold(now, r, kSilentPause);
+    return;
+  }
+  for (const ProbeState& it : r->probes) {
+    if (!it.reply.has_value() || !it.reply->can_serve) {
+      r->excluded.insert(it.target);
+    }
+  }
+  BeginProbing(now, r, actions);
+}
+
+void RequestFlow::ExcludeAfter(Reason refusal,
+                               const TargetId& target,
+                               ActiveRequest* r) const {
+  r->last_refusal = refusal;
+  // A stopping owner's target goes on under the next one.
+  if (refusal != Reason::kStopping) {
+    r->excluded.insert(target);
+  }
+}
+
 const ProbeState* RequestFlow::BestProbe(absl::Time now,
                                          const ActiveRequest& r) const {
   const absl::Duration left = r.TimeLeft(now);
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -1,22 +1,34 @@
 #include "umbertrail/core/request/screen_home.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "umbertrail/core/request/rendezvous.h"
 
 namespace umbertrail::core {
 namespace {
 
+// Homes of one fingerprint.
+constexpr std::size_t kHomes = 2;
 constexpr absl::Duration kSweepInterval = absl::Minutes(1);
 
 template <typename Runs>
-auto FindRun(Runs& runs, const InstanceRef& holder, const RequestId& request) {
+auto FindRun(Runs& runs,
+             const InstanceRef& holder,
+             const RequestId& request,
+             AttemptNumber attempt) {
   return std::find_if(runs.begin(), runs.end(), [&](const auto& it) {
-    return it.holder == holder && it.request == request;
+    return it.holder == holder && it.request == request &&
+           it.attempt == attempt;
   });
 }
 
 }  // namespace
 
-ScreenHome::ScreenHome(const Mutations* mutations) : mutations_(mutations) {}
+ScreenHome::ScreenHome(InstanceId self,
+                       const FleetView* fleet,
+                       const Mutations* mutations)
+    : self_(std::move(self)), fleet_(fleet), mutations_(mutations) {}
 
 ScreenReply ScreenHome::OnRequest(absl::Time now,
                                   const InstanceRef& from,
@@ -37,12 +49,14 @@
   entry.touched = now;
   DropExpiredRuns(now, &entry);
   reply.deaths = entry.deaths;
-  if (FindRun(entry.runs, from, request.request) != entry.runs.end()) {
+  if (FindRun(entry.runs, from, request.request, request.attempt) !=
+      entry.runs.end()) {
     return reply;
   }
-  reply.verdict = Judge(entry);
+  reply.verdict = Judge(entry, LimitFor(request.fingerprint));
   if (reply.verdict == ScreenVerdict::kRun && !entry.proven) {
-    entry.runs.push_back({from, request.request, now + request.time_left});
+    entry.runs.push_back(
+        {from, request.request, request.attempt, now + request.time_left});
   }
   return reply;
 }
@@ -60,7 +74,7 @@
   }
   Entry& entry = found->second;
   entry.touched = now;
-  const auto run = FindRun(entry.runs, from, ended.request);
+  const auto run = FindRun(entry.runs, from, ended.request, ended.attempt);
   if (run != entry.runs.end()) {
     entry.runs.erase(run);
   }
@@ -106,11 +120,18 @@
   return status;
 }
 
-ScreenVerdict ScreenHome::Judge(const Entry& entry) const {
+uint32_t ScreenHome::LimitFor(Fingerprint fingerprint) const {
+  const auto homes =
+      RankInstances(fingerprint.value(), fleet_->instances(), kHomes);
+  const bool home = std::find(homes.begin(), homes.end(), self_) != homes.end();
+  return home ? kDeathLimit : kDeathLimit - 1;
+}
+
+ScreenVerdict ScreenHome::Judge(const Entry& entry, uint32_t limit) const {
   if (entry.deaths >= kDeathLimit) {
     return ScreenVerdict::kQuarantined;
   }
-  if (entry.proven || entry.deaths + entry.runs.size() < kDeathLimit) {
+  if (entry.proven || entry.deaths + entry.runs.size() < limit) {
     return ScreenVerdict::kRun;
   }
   return ScreenVerdict::kWait;
--- a/tests/core/request_screen_home_test.cc
+++ b/tests/core/request_screen_home_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "fake_fleet.h"
 #include "umbertrail/core/request/screen_home.h"
 
 namespace umbertrail::core {
@@ -10,8 +11,13 @@
 const Fingerprint kContent(9);
 
 struct Home {
+  FakeFleet fleet;
   Mutations mutations;
-  ScreenHome home{&mutations};
+  ScreenHome home{InstanceId("10.0.0.1:7000"), &fleet, &mutations};
+
+  Home() {
+    fleet.instances_ = {{InstanceId("10.0.0.1:7000"), DataCentreId("a")}};
+  }
 
   ScreenVerdict Ask(const std::string& request) {
     return home
@@ -56,6 +62,14 @@
   CHECK(it.Ask("f") == ScreenVerdict::kWait);
 }
 
+TEST_CASE("an instance that is no home allows one less") {
+  Home it;
+  it.fleet.instances_ = {{InstanceId("10.0.0.7:7000"), DataCentreId("a")},
+                         {InstanceId("10.0.0.8:7000"), DataCentreId("a")}};
+  CHECK(it.Ask("a") == ScreenVerdict::kRun);
+  CHECK(it.Ask("b") == ScreenVerdict::kWait);
+}
+
 TEST_CASE("a gone holder's runs and expired ones are freed") {
   Home it;
   it.Ask("a");
