--- a/packages/http/include/umbertrail/http/json_fields.h
+++ b/packages/http/include/umbertrail/http/json_fields.h
@@ -61,10 +61,10 @@
 // The elements of an array field; an empty array when there is none.
 inline const nlohmann::json& ArrayField(const nlohmann::json& object,
                                         const char* name) {
-  static const nlohmann::json* const kNone =
+  static const nlohmann::json* const none =
       new nlohmann::json(nlohmann::json::array());
   const nlohmann::json* it = FindField(object, name);
-  return it != nullptr && it->is_array() ? *it : *kNone;
+  return it != nullptr && it->is_array() ? *it : *none;
 }
 
 // JSON text; bytes that are no UTF-8 are replaced.
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -16,13 +17,17 @@
 constexpr size_t kReadSize = 65536;
 constexpr int kBacklog = 64;
 
+// A socket bound to a port of the kernel's choice, or a failed precondition of
+// the whole test.
 int Listen(int& port) {
   const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t n = sizeof(address);
-  ::bind(listener, reinterpret_cast<sockaddr*>(&address), n);
+  if (::bind(listener, reinterpret_cast<sockaddr*>(&address), n) != 0) {
+    std::abort();
+  }
   ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &n);
   port = ntohs(address.sin_port);
   return listener;
--- a/tests/target/sse_parser_test.cc
+++ b/tests/target/sse_parser_test.cc
@@ -28,7 +28,7 @@
   CHECK(Parse("data: a\n\ndata:b\r\n\r\n") == Events{"a", "b"});
   CHECK(Parse("data: a\ndata: b\n\n") == Events{"a\nb"});
   CHECK(Parse(": note\nid: 1\ndata: a\n\n\n\n") == Events{"a"});
-  CHECK(Parse("data: a\n") == Events{});
+  CHECK(Parse("data: a\n").empty());
   CHECK(Parse("data:\n\n") == Events{""});
 }
 
--- a/tools/standins/engine_model.cc
+++ b/tools/standins/engine_model.cc
@@ -36,7 +36,8 @@
 
 uint64_t HashOfPrefix(const std::string& prompt, int64_t length) {
   const auto n = static_cast<size_t>(length * kBytesPerToken);
-  return StableHash(std::string_view(prompt).substr(0, n));
+  const std::string_view text = prompt;
+  return StableHash(text.substr(0, n));
 }
 
 bool CoversPrefix(const GenerateRequest& request, int64_t length) {
--- a/tools/standins/engine_server.cc
+++ b/tools/standins/engine_server.cc
@@ -377,7 +377,7 @@
 
 const std::vector<EngineServer::Handlers::Route>&
 EngineServer::Handlers::Routes() {
-  static const auto* const kRoutes = new std::vector<Route>{
+  static const auto* const routes = new std::vector<Route>{
       {"POST", "/v1/generate", &Handlers::Generate},
       {"POST", "/v1/cancel", &Handlers::Cancel},
       {"GET", "/v1/report", &Handlers::Report},
@@ -388,7 +388,7 @@
       {"GET", "/standin/counters", &Handlers::Counters},
       {"POST", "/standin/fault", &Handlers::Fault},
   };
-  return *kRoutes;
+  return *routes;
 }
 
 EngineServer::EngineServer(EngineServerSettings settings)
--- a/tools/standins/server.cc
+++ b/tools/standins/server.cc
@@ -58,15 +58,15 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   int port = options.port;
   if (port == 0) {
-    port = server.bind_to_any_port(options.host.c_str());
-  } else if (!server.bind_to_port(options.host.c_str(), port)) {
+    port = server.bind_to_any_port(options.host);
+  } else if (!server.bind_to_port(options.host, port)) {
     port = -1;
   }
   if (port < 0) {
     std::fprintf(stderr, "cannot listen on port %d\n", options.port);
     return 1;
   }
-  std::printf("listening %s:%d\n", options.host.c_str(), port);
+  std::printf("listening %s:%d\n", options.host, port);
   std::fflush(stdout);
   std::atomic<bool> ended{false};
   std::thread stopper([&] {
--- a/tools/standins/service_main.cc
+++ b/tools/standins/service_main.cc
@@ -61,7 +61,7 @@
     }
     --running_;
     Answer(response,
-           {{"call", std::string(request.matches[1])},
+           {{"call", request.matches[1].str()},
             {"run", run},
             {"body_hash", absl::StrCat(absl::Hex(StableHash(request.body)))}});
   }
