--- a/tools/standins/server.cc
+++ b/tools/standins/server.cc
@@ -66,7 +66,7 @@
     std::fprintf(stderr, "cannot listen on port %d\n", options.port);
     return 1;
   }
-  std::printf("listening %s:%d\n", options.host, port);
+  std::printf("listening %s:%d\n", options.host.c_str(), port);
   std::fflush(stdout);
   std::atomic<bool> ended{false};
   std::thread stopper([&] {
