--- a/packages/target/src/wire.cc
+++ b/packages/target/src/wire.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "umbertrail/core/once/ticket_desk.h"
 #include "umbertrail/http/json_fields.h"
 
 namespace umbertrail::target::detail {
@@ -166,8 +167,7 @@
 
 std::string OnceToken(const core::RequestSpec& spec) {
   if (spec.ticket.has_value()) {
-    return absl::StrCat("ticket:", HolderText(spec.ticket->issuer), "/",
-                        spec.ticket->serial);
+    return core::TicketToken(*spec.ticket);
   }
   if (!spec.idempotency_key.empty()) {
     return absl::StrCat("key:", spec.account.text(), ":", spec.service.text(),
--- a/tests/standins/config_state_test.cc
+++ b/tests/standins/config_state_test.cc
@@ -52,10 +52,5 @@
   CHECK((*state.Watch(Ask()))["head"]["revision"] == 2);
 }
 
-TEST_CASE("a part is named by its hash") {
-  CHECK(HexSha256("abc") ==
-        "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
-}
-
 }  // namespace
 }  // namespace umbertrail::standin
--- a/tools/standins/config_state.cc
+++ b/tools/standins/config_state.cc
@@ -3,11 +3,10 @@
 #include <fstream>
 #include <iterator>
 #include <utility>
+#include <variant>
 
-#include <openssl/sha.h>
-
-#include "absl/strings/escaping.h"
 #include "umbertrail/http/json_fields.h"
+#include "umbertrail/manifest.h"
 
 namespace umbertrail::standin {
 namespace {
@@ -39,36 +38,64 @@
   return value;
 }
 
-}  // namespace
-
-std::string HexSha256(const std::string& bytes) {
-  std::string digest(SHA256_DIGEST_LENGTH, '\0');
-  SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-         reinterpret_cast<unsigned char*>(digest.data()));
-  return absl::BytesToHexString(digest);
+// Takes the head and the parts from `manifest.yaml`. False while it is absent
+// or invalid.
+bool ReadWholeManifest(const std::string& directory, PublishedState& state) {
+  const auto yaml = ReadFile(directory + "/manifest.yaml");
+  if (!yaml.has_value()) {
+    return false;
+  }
+  const auto parsed = manifest::ParseManifestFile(*yaml, "manifest.yaml");
+  const auto* whole = std::get_if<manifest::Manifest>(&parsed);
+  if (whole == nullptr) {
+    return false;
+  }
+  const manifest::PublishedManifest published = manifest::SplitManifest(*whole);
+  json refs = json::array();
+  for (const manifest::PartRef& it : published.head.parts) {
+    refs.push_back({{"name", it.name}, {"hash", it.hash}});
+  }
+  for (const manifest::Part& it : published.parts) {
+    state.parts[manifest::ContentHash(it.bytes)] = it.bytes;
+  }
+  state.head = {{"revision", published.head.revision.value()},
+                {"parts", std::move(refs)}};
+  return true;
 }
 
-std::optional<PublishedState> ReadPublished(const std::string& directory) {
+// Takes the head from `head.json` and the parts from the files that it names,
+// valid or not. False while a file is absent or half written.
+bool ReadSplitManifest(const std::string& directory, PublishedState& state) {
   const auto head_text = ReadFile(directory + "/head.json");
   const json listing = ParseJson(head_text.value_or(""));
   const auto revision = NumberField(listing, "revision");
   if (!revision.has_value()) {
-    return std::nullopt;
+    return false;
   }
-  PublishedState state;
   json refs = json::array();
   for (const json& it : ArrayField(listing, "parts")) {
     const auto name = TextField(it, "name");
     const auto file = TextField(it, "file");
     const auto bytes = ReadFile(directory + "/" + file.value_or(""));
     if (!name.has_value() || !bytes.has_value()) {
-      return std::nullopt;
+      return false;
     }
-    const std::string hash = HexSha256(*bytes);
+    const std::string hash = manifest::ContentHash(*bytes);
     refs.push_back({{"name", *name}, {"hash", hash}});
     state.parts[hash] = *bytes;
   }
   state.head = {{"revision", *revision}, {"parts", std::move(refs)}};
+  return true;
+}
+
+}  // namespace
+
+std::optional<PublishedState> ReadPublished(const std::string& directory) {
+  PublishedState state;
+  if (!ReadWholeManifest(directory, state) &&
+      !ReadSplitManifest(directory, state)) {
+    return std::nullopt;
+  }
   auto instances = ReadArray(directory + "/instances.json");
   auto targets = ReadArray(directory + "/targets.json");
   if (!instances.has_value() || !targets.has_value()) {
--- a/tools/standins/config_state.h
+++ b/tools/standins/config_state.h
@@ -15,8 +15,9 @@
 
 namespace umbertrail::standin {
 
-// What a directory publishes. Files: `head.json` with {"revision", "parts":
-// [{"name", "file"}]}, the parts' files, `instances.json` and `targets.json`.
+// What a directory publishes. Files: `manifest.yaml`, a whole manifest, or else
+// `head.json` with {"revision", "parts": [{"name", "file"}]} and the parts'
+// files; beside it `instances.json` and `targets.json`.
 struct PublishedState {
   nlohmann::json head;
   std::map<std::string, std::string> parts;  // by hash
@@ -24,12 +25,10 @@
   nlohmann::json targets = nlohmann::json::array();
 };
 
-// Reads a directory; nothing while a file is absent or half written.
+// Reads a directory; nothing while a file is absent, half
+// written or invalid.
 std::optional<PublishedState> ReadPublished(const std::string& directory);
 
-// Hex SHA-256, the name of a part.
-std::string HexSha256(const std::string& bytes);
-
 // The state of a configuration service stand-in: published values with their
 // versions, lists that lag, and faults. Thread-safe.
 class ConfigState {
