--- a/tools/standins/config_main.cc
+++ b/tools/standins/config_main.cc
@@ -133,6 +133,7 @@
 }
 
 int Run(const Arguments& arguments) {
+  BlockStopSignals();
   ConfigState state;
   ConfigState::Faults faults;
   faults.list_lag = arguments.Millis("--list-lag");
--- a/tools/standins/engine_main.cc
+++ b/tools/standins/engine_main.cc
@@ -67,6 +67,7 @@
 }
 
 int Run(const Arguments& arguments) {
+  BlockStopSignals();
   EngineServerSettings settings;
   settings.engine = ReadEngine(arguments);
   settings.weights_address = arguments.Text("--weights");
--- a/tools/standins/engine_model.cc
+++ b/tools/standins/engine_model.cc
@@ -34,15 +34,22 @@
   return phase == StreamPhase::kPrefill || phase == StreamPhase::kDecoding;
 }
 
-uint64_t HashOfPrefix(const std::string& prompt, int64_t length) {
-  const auto n = static_cast<size_t>(length * kBytesPerToken);
-  const std::string_view text = prompt;
-  return StableHash(text.substr(0, n));
-}
-
-bool CoversPrefix(const GenerateRequest& request, int64_t length) {
-  return length <= request.prompt_tokens &&
-         static_cast<size_t>(length * kBytesPerToken) <= request.prompt.size();
+// Marks of a prompt's prefixes; each hash goes on from the one before.
+std::vector<PrefixMark> MarkPrefixes(const GenerateRequest& request) {
+  const std::string_view text = request.prompt;
+  std::vector<PrefixMark> marks;
+  uint64_t hash = 0;
+  size_t begin = 0;
+  for (int64_t n = kFirstPrefixMark; n <= request.prompt_tokens; n *= 2) {
+    const auto end = static_cast<size_t>(n * kBytesPerToken);
+    if (end > text.size()) {
+      break;
+    }
+    hash = StableHash(text.substr(begin, end - begin), hash);
+    marks.push_back({hash, n});
+    begin = end;
+  }
+  return marks;
 }
 
 }  // namespace
@@ -109,7 +116,7 @@
     }
     const int64_t whole = it->request.prompt_tokens + it->request.resume_from;
     it->prefill_left = static_cast<double>(
-        ShareOf(whole - MatchedPrefix(it->request), it->request.group_size));
+        ShareOf(whole - MatchedPrefix(*it), it->request.group_size));
   }
 }
 
@@ -196,6 +203,7 @@
   Stream stream;
   stream.id = id;
   stream.prompt_hash = PromptHash(request.prompt);
+  stream.marks = MarkPrefixes(request);
   stream.memory = MemoryOf(request);
   stream.generated = static_cast<double>(request.resume_from);
   stream.poisoned =
@@ -430,32 +438,31 @@
 
 // -- Prefix cache -------------------------------------------------------------
 
-int64_t EngineModel::MatchedPrefix(const GenerateRequest& request) {
+int64_t EngineModel::MatchedPrefix(const Stream& stream) {
   int64_t matched = 0;
-  for (int64_t n = kFirstPrefixMark; CoversPrefix(request, n); n *= 2) {
-    const uint64_t hash = HashOfPrefix(request.prompt, n);
-    const auto it =
-        std::find_if(cache_.begin(), cache_.end(),
-                     [hash](const CacheEntry& e) { return e.hash == hash; });
+  for (const PrefixMark& mark : stream.marks) {
+    const auto it = std::find_if(
+        cache_.begin(), cache_.end(),
+        [&mark](const CacheEntry& e) { return e.mark.hash == mark.hash; });
     if (it == cache_.end()) {
       break;
     }
     const CacheEntry used = *it;
     cache_.erase(it);
     cache_.push_back(used);
-    matched = n;
+    matched = mark.length;
   }
   return matched;
 }
 
 void EngineModel::CachePrompt(const Stream& stream) {
-  const int64_t matched = MatchedPrefix(stream.request);
-  int64_t n = matched == 0 ? kFirstPrefixMark : matched * 2;
-  int64_t covered = matched;
-  for (; CoversPrefix(stream.request, n); n *= 2) {
-    const CacheEntry entry{HashOfPrefix(stream.request.prompt, n), n,
-                           n - covered};
-    covered = n;
+  int64_t covered = MatchedPrefix(stream);
+  for (const PrefixMark& mark : stream.marks) {
+    if (mark.length <= covered) {
+      continue;
+    }
+    const CacheEntry entry{mark, mark.length - covered};
+    covered = mark.length;
     cache_.push_back(entry);
     Publish(true, entry);
   }
@@ -481,7 +488,8 @@
   if (loss > 0 && cache_sequence_ % loss == 0) {
     return;
   }
-  events_.push_back({now_, {cache_sequence_, added, entry.length, entry.hash}});
+  events_.push_back(
+      {now_, {cache_sequence_, added, entry.mark.length, entry.mark.hash}});
   if (events_.size() > kMaxKeptEvents) {
     events_.pop_front();
   }
--- a/tools/standins/engine_model.h
+++ b/tools/standins/engine_model.h
@@ -60,6 +60,12 @@
   int64_t group_size = 1;
 };
 
+// A prefix of a prompt, by the hash of its text.
+struct PrefixMark {
+  uint64_t hash = 0;
+  int64_t length = 0;
+};
+
 // Why a request was not run.
 struct Refusal {
   std::string error;
@@ -206,6 +212,7 @@
     GenerateRequest request;
     StreamPhase phase = StreamPhase::kWaiting;
     uint64_t prompt_hash = 0;
+    std::vector<PrefixMark> marks;
     // Tokens of memory held while it runs.
     int64_t memory = 0;
     double prefill_left = 0;
@@ -214,8 +221,8 @@
     bool muted = false;
   };
   struct CacheEntry {
-    uint64_t hash = 0;
-    int64_t length = 0;
+    PrefixMark mark;
+    // Tokens that it adds to the entry before it.
     int64_t cost = 0;
   };
   struct TimedEvent {
@@ -243,7 +250,7 @@
   EngineReport MakeReport() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   int64_t MemoryUsed() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   int64_t TokensInFlight() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-  int64_t MatchedPrefix(const GenerateRequest& request)
+  int64_t MatchedPrefix(const Stream& stream)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void CachePrompt(const Stream& stream) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void EvictCache() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/tools/standins/server.cc
+++ b/tools/standins/server.cc
@@ -51,11 +51,14 @@
   server.set_tcp_nodelay(true);
 }
 
+void BlockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int Serve(httplib::Server& server,
           const ServeOptions& options,
           const std::function<void()>& stop) {
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   int port = options.port;
   if (port == 0) {
     port = server.bind_to_any_port(options.host);
--- a/tools/standins/server.h
+++ b/tools/standins/server.h
@@ -22,6 +22,9 @@
   absl::Duration run_for = absl::Minutes(10);
 };
 
+// Keeps stop signals for Serve. Call it before any thread is started.
+void BlockStopSignals();
+
 // Serves until SIGTERM, SIGINT or the end of run_for; calls `stop` before the
 // server waits for its handlers. Prints `listening HOST:PORT`. Returns the
 // program's exit code.
--- a/tools/standins/service_main.cc
+++ b/tools/standins/service_main.cc
@@ -120,6 +120,7 @@
 };
 
 int Run(const Arguments& arguments) {
+  BlockStopSignals();
   Service service(arguments.Text("--name"), arguments.Millis("--delay"));
   httplib::Server server;
   Configure(server);
--- a/tools/standins/weights_main.cc
+++ b/tools/standins/weights_main.cc
@@ -67,6 +67,7 @@
 }
 
 int Run(const Arguments& arguments) {
+  BlockStopSignals();
   const absl::Duration time = arguments.Millis("--load-ms");
   LoadPlaces places(static_cast<int>(arguments.Number("--loads")), time);
   httplib::Server server;
