--- a/packages/core/src/fleet/ownership.cc
+++ b/packages/core/src/fleet/ownership.cc
@@ -102,8 +102,8 @@
       return live;
     }
   }
-  const size_t room = std::min(rest.size(), kMaxRanking - live.size());
-  live.insert(live.end(), rest.begin(), rest.begin() + room);
+  live.insert(live.end(), rest.begin(), rest.end());
+  live.resize(std::min(live.size(), kMaxRanking));
   return live;
 }
 
@@ -153,7 +153,8 @@
   std::vector<std::pair<uint64_t, uint16_t>> scored;
   std::vector<std::pair<uint64_t, uint16_t>> elsewhere;
   const std::vector<InstanceInfo>& instances = membership_->instances();
-  for (uint16_t i = 0; i < instances.size(); ++i) {
+  for (size_t n = 0; n < instances.size(); ++n) {
+    const auto i = static_cast<uint16_t>(n);
     const bool near = RegionOf(regions, instances[i].data_centre) == region;
     const uint64_t score =
         OwnerScore(target.id, instances[i], target.data_centre);
