--- a/tests/core/orders_rollout_test.cc
+++ b/tests/core/orders_rollout_test.cc
@@ -246,17 +246,17 @@
                     *rc::gen::arbitrary<uint32_t>());
     rollout.Run(absl::Minutes(20));
     RC_ASSERT(rollout.UpToDate() == engines);
-    const int versions = *rc::gen::inRange(1, 5);
+    const int versions = *rc::gen::inRange(1, 12);
     for (int i = 0; i < versions; ++i) {
-      rollout.Publish(absl::StrCat("v", *rc::gen::inRange(1, 4)));
-      rollout.Run(absl::Seconds(*rc::gen::inRange(1, 200)));
+      rollout.Publish(absl::StrCat("v", *rc::gen::inRange(1, 3)));
+      rollout.Run(absl::Seconds(*rc::gen::inRange(1, 90)));
     }
     rollout.Run(absl::Minutes(30));
     RC_ASSERT(rollout.least() >= min_serving);
     RC_ASSERT(!rollout.backwards);
     RC_ASSERT(rollout.UpToDate() == engines);
   };
-  CHECK(RunSeeded(11, 60, property) == "");
+  CHECK(RunSeeded(11, 400, property) == "");
 }
 
 TEST_CASE("a dead engine holds a roll that has no other to spare") {
