Fleet: words that answer each other no longer multiply

Two instances that each knew a former incarnation of the other asked and answered without end. A query to one peer now keeps a tick's distance, an instance that hasn't compared its revision answers without confirming, and a peer that talks without being listed puts claims in doubt.

--- a/packages/core/include/umbertrail/core/fleet/config.h
+++ b/packages/core/include/umbertrail/core/fleet/config.h
@@ -24,8 +24,12 @@
 
   // The platform's lists show a change within this time.
   absl::Duration list_lag = absl::Seconds(10);
-  // A list not read again for this long can't be confirmed.
-  absl::Duration list_confirm_limit = absl::Seconds(15);
+  // A list not read again for this long can't be confirmed. Longer than a
+  // watch of the service waits.
+  absl::Duration list_confirm_limit = absl::Seconds(5);
+  // A peer that talks without being listed for this long shows that the list
+  // is stale.
+  absl::Duration list_doubt_limit = absl::Seconds(5);
 
   // Between two queries to the same partner.
   absl::Duration exchange_interval = absl::Seconds(3);
--- a/packages/core/include/umbertrail/core/fleet/exchange.h
+++ b/packages/core/include/umbertrail/core/fleet/exchange.h
@@ -22,7 +22,8 @@
   void SetPeers(std::vector<InstanceId> live);
   void SetRivals(std::vector<InstanceId> rivals);
 
-  // Asks one peer now, unless a query to it is outstanding.
+  // Asks one peer now, unless a query to it is outstanding or was sent within
+  // the last tick's time: words that answer each other must not multiply.
   void Ask(absl::Time now, const InstanceId& peer, Actions* actions);
   // Asks some random peers now.
   void AskSome(absl::Time now, int count, Actions* actions);
@@ -33,10 +34,7 @@
   // When the query was sent that this answers; nothing when it is no answer to
   // an outstanding one.
   std::optional<absl::Time> OnAnswer(const InstanceId& peer, uint64_t nonce);
-  // A peer can't be reached, or is there without answering: no query to it is
-  // outstanding.
-  void OnUnreachable(const InstanceId& peer) { Settle(peer); }
-  void OnHeard(const InstanceId& peer) { Settle(peer); }
+  void OnUnreachable(const InstanceId& peer);
   // Words that were asked for before a pause answer nothing.
   void OnPause();
 
@@ -51,10 +49,10 @@
   struct Peer {
     std::optional<Query> outstanding;
     int unanswered = 0;
+    absl::Time asked_at = absl::InfinitePast();
     absl::Time next_query = absl::InfinitePast();
   };
 
-  void Settle(const InstanceId& peer);
   void ChangePartners(absl::Time now);
   std::optional<InstanceId> RandomPeer();
   bool IsRegular(const InstanceId& id) const;
--- a/packages/core/include/umbertrail/core/fleet/membership.h
+++ b/packages/core/include/umbertrail/core/fleet/membership.h
@@ -67,9 +67,9 @@
   absl::Time instances_read_at() const { return instances_read_at_; }
   bool instances_known() const { return instances_known_; }
   bool targets_known() const { return targets_known_; }
-  // Whether a peer that isn't listed, nor leaving, has been heard for longer
-  // than the list lags: the list that is served is stale.
-  bool ListDoubted(absl::Time now) const;
+  // Longest time for which a peer that isn't listed has talked to this
+  // instance; zero when there is none. Those that are leaving don't count.
+  absl::Duration UnlistedFor(absl::Time now) const;
 
  private:
   struct Peer {
--- a/packages/core/include/umbertrail/core/fleet/ownership.h
+++ b/packages/core/include/umbertrail/core/fleet/ownership.h
@@ -65,7 +65,8 @@
                  const std::map<DataCentreId, RegionId>& regions,
                  Place* place) const;
   void UpdatePlace(absl::Time now, Place* place) const;
-  bool Confirmed(absl::Time now, const Place& place) const;
+  bool Confirmed(absl::Time now) const;
+  bool Doubted(absl::Time now) const;
   const InstanceId& IdAt(uint16_t index) const;
 
   const FleetConfig config_;
--- a/packages/core/src/fleet/exchange.cc
+++ b/packages/core/src/fleet/exchange.cc
@@ -34,11 +34,13 @@
 
 void Exchange::Ask(absl::Time now, const InstanceId& peer, Actions* actions) {
   Peer& state = peers_[peer];
-  if (state.outstanding.has_value() || peer == self_) {
+  const bool just_asked = now - state.asked_at < config_.tick_interval;
+  if (state.outstanding.has_value() || just_asked || peer == self_) {
     return;
   }
   const uint64_t nonce = std::max<uint64_t>(random_->Next(), 1);
   state.outstanding = Query{nonce, now};
+  state.asked_at = now;
   const double jitter = 0.75 + random_->Fraction() / 2;
   state.next_query = now + config_.exchange_interval * jitter;
   actions->push_back(SendPeer{peer, HeadQuery{nonce}});
@@ -68,7 +70,8 @@
         peer.unanswered = 0;
       }
     }
-    const bool idle = !peer.outstanding.has_value() && peer.unanswered == 0;
+    const bool idle = !peer.outstanding.has_value() && peer.unanswered == 0 &&
+                      now - peer.asked_at >= config_.tick_interval;
     it = idle && !IsRegular(it->first) ? peers_.erase(it) : std::next(it);
   }
   for (const InstanceId& it : Partners()) {
@@ -92,7 +95,7 @@
   return sent_at;
 }
 
-void Exchange::Settle(const InstanceId& peer) {
+void Exchange::OnUnreachable(const InstanceId& peer) {
   const auto it = peers_.find(peer);
   if (it != peers_.end()) {
     it->second.outstanding.reset();
--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -259,10 +259,18 @@
   const bool whole =
       from.revision != store_.revision() || query.nonce % kWholeHeadEvery == 0;
   const manifest::Head known{store_.revision(), {}};
-  // An instance that hasn't compared its own revision yet confirms nothing.
-  const uint64_t nonce = freshness_.started() ? query.nonce : kUnasked;
-  actions->push_back(
-      SendPeer{from.from.id, HeadOffer{nonce, whole ? store_.head() : known}});
+  const InstanceId& peer = from.from.id;
+  if (freshness_.started()) {
+    actions->push_back(
+        SendPeer{peer, HeadOffer{query.nonce, whole ? store_.head() : known}});
+    return;
+  }
+  // An instance that hasn't compared its own revision yet is there, but
+  // confirms nothing.
+  actions->push_back(SendPeer{peer, HeadOffer{query.nonce, {}}});
+  if (from.revision < store_.revision()) {
+    actions->push_back(SendPeer{peer, HeadOffer{kUnasked, store_.head()}});
+  }
 }
 
 void Fleet::TakeOffer(absl::Time now,
@@ -273,11 +281,9 @@
   if (!offer.head.parts.empty()) {
     TakeHead(now, offer.head, from, actions);
   }
-  if (asked_at.has_value()) {
+  if (asked_at.has_value() && offer.head.revision.value() > 0) {
     answered_.insert(from);
     freshness_.OnPeerAnswer(*asked_at);
-  } else if (offer.nonce == kUnasked) {
-    exchange_.OnHeard(from);
   }
 }
 
--- a/packages/core/src/fleet/membership.cc
+++ b/packages/core/src/fleet/membership.cc
@@ -235,15 +235,15 @@
   return InstanceRef{id, *it->second.incarnation};
 }
 
-bool Membership::ListDoubted(absl::Time now) const {
+absl::Duration Membership::UnlistedFor(absl::Time now) const {
+  absl::Duration longest = absl::ZeroDuration();
   for (const auto& [id, peer] : peers_) {
     const bool talks = now - peer.heard_at <= config_.list_lag;
-    if (talks && !peer.said_leaving &&
-        now - peer.unlisted_since > config_.list_lag) {
-      return true;
+    if (talks && !peer.said_leaving) {
+      longest = std::max(longest, now - peer.unlisted_since);
     }
   }
-  return false;
+  return longest;
 }
 
 }  // namespace umbertrail::core
--- a/packages/core/src/fleet/ownership.cc
+++ b/packages/core/src/fleet/ownership.cc
@@ -117,13 +117,13 @@
   if (!settled && !mutations_->skip_cold_settling) {
     return OwnerClaim::kSettling;
   }
-  // Of three that don't hear each other only two may hold half each.
-  if (place.dead_before > 1) {
+  // Of three that don't hear each other only two may hold half each, and one
+  // that isn't in the list may rank before this instance.
+  if (place.dead_before > 1 || Doubted(now)) {
     return OwnerClaim::kSettling;
   }
   const bool contested = place.dead_before > 0 || place.next_dead;
-  return contested || !Confirmed(now, place) ? OwnerClaim::kHalf
-                                             : OwnerClaim::kFull;
+  return contested || !Confirmed(now) ? OwnerClaim::kHalf : OwnerClaim::kFull;
 }
 
 std::vector<InstanceId> Ownership::Rivals() const {
@@ -201,11 +201,14 @@
       found ? std::min(place->first_since, now) : absl::InfiniteFuture();
 }
 
-bool Ownership::Confirmed(absl::Time now, const Place& place) const {
-  const absl::Time read_at = membership_->instances_read_at();
-  return read_at >= place.first_since &&
-         now - read_at <= config_.list_confirm_limit &&
-         !membership_->ListDoubted(now);
+bool Ownership::Confirmed(absl::Time now) const {
+  return now - membership_->instances_read_at() <= config_.list_confirm_limit;
+}
+
+bool Ownership::Doubted(absl::Time now) const {
+  const absl::Duration unlisted = membership_->UnlistedFor(now);
+  return Confirmed(now) ? unlisted > config_.list_doubt_limit
+                        : unlisted > absl::ZeroDuration();
 }
 
 const InstanceId& Ownership::IdAt(uint16_t index) const {
--- a/tests/core/fleet_support.h
+++ b/tests/core/fleet_support.h
@@ -80,7 +80,10 @@
   InstanceRef self;
   int side = 0;  // only members of one side reach each other
   bool running = true;
+  bool paused = false;  // not running, and silent rather than refused
   bool reaches_service = true;
+  // How far what the service tells this member lags.
+  absl::Duration list_lag;
   absl::Time next_read;
 };
 
@@ -90,7 +93,7 @@
   explicit TestFleet(int n, uint64_t seed = 1, Mutations mutations = {})
       : seed_(seed), mutations_(mutations) {
     Publish(MakeManifest(1));
-    instances = MakeInstances(1, n);
+    lists_.emplace_back(absl::InfinitePast(), MakeInstances(1, n));
     targets = MakeTargets(1, 6);
     for (int i = 0; i < n; ++i) {
       members.emplace_back();
@@ -116,9 +119,20 @@
     it.fleet = std::make_unique<Fleet>(FleetConfig(), it.self, DataCentreOf(i),
                                        it.random.get(), &mutations_);
     it.running = true;
+    it.paused = false;
     it.next_read = now;
   }
 
+  // The platform's instance list from now on: the members that `listed` names.
+  void List(const std::vector<int>& listed) {
+    InstanceListRead list{lists_.empty() ? 1 : lists_.back().second.version + 1,
+                          {}};
+    for (const int i : listed) {
+      list.instances.push_back(MakeInstance(i));
+    }
+    lists_.emplace_back(now, list);
+  }
+
   Fleet& At(int i) { return *members[i].fleet; }
 
   // Lets virtual time pass in steps of 100 ms.
@@ -161,12 +175,19 @@
   std::vector<Member> members;
   manifest::Head head;
   std::map<std::string, std::string> parts;
-  InstanceListRead instances;
   TargetListRead targets;
   absl::Time now = kStart;
   int messages = 0;
 
  private:
+  const InstanceListRead& ListAsOf(absl::Time time) const {
+    auto it = lists_.rbegin();
+    while (it->first > time) {
+      ++it;
+    }
+    return it->second;
+  }
+
   void ReadService(size_t i) {
     Member& it = members[i];
     it.next_read = now + absl::Seconds(2);
@@ -176,7 +197,7 @@
     }
     Actions actions;
     it.fleet->OnHeadRead(now, {head}, &actions);
-    it.fleet->OnInstanceList(now, instances, &actions);
+    it.fleet->OnInstanceList(now, ListAsOf(now - it.list_lag), &actions);
     it.fleet->OnTargetList(now, targets, &actions);
     Perform(i, actions);
   }
@@ -197,6 +218,9 @@
       if (to.self.id != send.to) {
         continue;
       }
+      if (to.paused) {
+        return;
+      }
       if (to.running && to.side == members[from].side) {
         Actions actions;
         const PeerEnvelope envelope{members[from].self,
@@ -213,6 +237,7 @@
   const uint64_t seed_;
   const Mutations mutations_;
   uint64_t lives_ = 0;
+  std::vector<std::pair<absl::Time, InstanceListRead>> lists_;
 };
 
 }  // namespace umbertrail::core
