--- a/packages/http/include/umbertrail/http/link.h
+++ b/packages/http/include/umbertrail/http/link.h
@@ -75,11 +75,11 @@
 
   // Sends one call and reads its answer, at most `max_body` bytes of it.
   // Blocks for as long as there is progress.
-  Answer Send(const Call& call, size_t max_body);
+  Answer Send(Call call, size_t max_body);
 
   // As above, but hands the bytes of a status 200 answer to `receiver`, which
   // runs on this thread.
-  Answer Send(const Call& call, size_t max_body, const Receiver& receiver);
+  Answer Send(Call call, size_t max_body, const Receiver& receiver);
 
   // Ends the call under way, and each later one, with kStopped. Does not
   // block.
--- a/packages/http/src/link.cc
+++ b/packages/http/src/link.cc
@@ -124,15 +124,15 @@
   }
 }
 
-httplib::Request MakeRequest(const Call& call) {
+httplib::Request MakeRequest(Call call) {
   httplib::Request request;
-  request.method = call.method;
-  request.path = call.path;
-  request.body = call.body;
+  request.method = std::move(call.method);
+  request.path = std::move(call.path);
+  request.body = std::move(call.body);
   for (const Header& header : call.headers) {
     request.headers.emplace(header.name, header.value);
   }
-  if (!call.body.empty() && !request.has_header("Content-Type")) {
+  if (!request.body.empty() && !request.has_header("Content-Type")) {
     request.headers.emplace("Content-Type", "application/json");
   }
   return request;
@@ -158,14 +158,14 @@
     }
   }
 
-  Answer Send(const Call& call, size_t max_body, const Receiver& receiver) {
+  Answer Send(Call call, size_t max_body, const Receiver& receiver) {
     Reading reading;
     reading.last_progress = absl::Now();
     if (socket_.aborted()) {
       reading.answer.fault = Fault::kStopped;
       return std::move(reading.answer);
     }
-    httplib::Request request = MakeRequest(call);
+    httplib::Request request = MakeRequest(std::move(call));
     request.response_handler = [&](const httplib::Response& response) {
       reading.last_progress = absl::Now();
       reading.answer.status = response.status;
@@ -178,8 +178,13 @@
       return !socket_.aborted() &&
              TakeBytes(bytes, max_body, receiver, reading);
     };
-    const httplib::Result result = client_.send(request);
-    reading.answer.fault = FaultOf(result.error(), reading);
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    if (!client_.send(request, response, error) &&
+        error == httplib::Error::Success) {
+      error = httplib::Error::Unknown;
+    }
+    reading.answer.fault = FaultOf(error, reading);
     if (!settings_.keep_alive || reading.answer.fault != Fault::kNone) {
       socket_.Release();
     }
@@ -211,12 +216,12 @@
 
 Link::~Link() = default;
 
-Answer Link::Send(const Call& call, size_t max_body) {
-  return impl_->Send(call, max_body, nullptr);
+Answer Link::Send(Call call, size_t max_body) {
+  return impl_->Send(std::move(call), max_body, nullptr);
 }
 
-Answer Link::Send(const Call& call, size_t max_body, const Receiver& receiver) {
-  return impl_->Send(call, max_body, receiver);
+Answer Link::Send(Call call, size_t max_body, const Receiver& receiver) {
+  return impl_->Send(std::move(call), max_body, receiver);
 }
 
 void Link::Abort() {
--- a/packages/target/src/stream.cc
+++ b/packages/target/src/stream.cc
@@ -103,25 +103,26 @@
 
 http::Answer Stream::Receive() {
   if (!IsEngineCall()) {
-    return link_.Send(call_, settings_.max_answer_bytes);
+    return link_.Send(std::move(call_), settings_.max_answer_bytes);
   }
   SseParser parser(settings_.max_line_bytes,
                    [this](std::string_view data) { return TakeItem(data); });
-  return link_.Send(call_, kMaxErrorBytes, [&](std::string_view bytes) {
-    switch (parser.Feed(bytes)) {
-      case SseParser::Status::kMore:
-        break;
-      case SseParser::Status::kEnded:
-        return false;
-      case SseParser::Status::kLineTooLong:
-        return End(core::AttemptFailure::kBroken, "line over its limit");
-    }
-    if (absl::Now() - last_item_ < action_.progress_limit) {
-      return true;
-    }
-    // Bytes that carry no item are no progress of this attempt.
-    return End(core::AttemptFailure::kSilent, "no item within the limit");
-  });
+  return link_.Send(
+      std::move(call_), kMaxErrorBytes, [&](std::string_view bytes) {
+        switch (parser.Feed(bytes)) {
+          case SseParser::Status::kMore:
+            break;
+          case SseParser::Status::kEnded:
+            return false;
+          case SseParser::Status::kLineTooLong:
+            return End(core::AttemptFailure::kBroken, "line over its limit");
+        }
+        if (absl::Now() - last_item_ < action_.progress_limit) {
+          return true;
+        }
+        // Bytes that carry no item are no progress of this attempt.
+        return End(core::AttemptFailure::kSilent, "no item within the limit");
+      });
 }
 
 bool Stream::TakeItem(std::string_view data) {
--- a/packages/target/src/stream.h
+++ b/packages/target/src/stream.h
@@ -77,7 +77,8 @@
   const TargetClientSettings& settings_;
   const EventCallback& on_event_;
   StreamCounters& counters_;
-  const http::Call call_;
+  // Sent once; empty afterwards.
+  http::Call call_;
   http::Link link_;
   std::atomic<bool> cancelled_{false};
   std::optional<Ending> ending_;
--- a/tests/target/client_test.cc
+++ b/tests/target/client_test.cc
@@ -1,3 +1,5 @@
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -5,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 #include "http/fake_server.h"
 #include "target/event_log.h"
 #include "umbertrail/target.h"
@@ -301,6 +304,68 @@
   CHECK(bench.server.connections() == 1);
 }
 
+// Sends the answer up to each of its bytes in turn, and closes. `judge` says
+// whether the report fits an answer of which `cut` bytes came.
+void CutEverywhere(const std::string& answer,
+                   const core::StartAttempt& action,
+                   const std::function<bool(size_t cut, bool done)>& judge) {
+  std::atomic<size_t> cut{0};
+  Bench bench([&](FakeConnection& it) {
+    const std::string request = it.ReadRequest();
+    const bool cancel = request.find("/v1/cancel") != std::string::npos;
+    it.Write(cancel ? HttpAnswer(200, "{}") : answer.substr(0, cut));
+  });
+  size_t ends = 0;
+  for (; cut <= answer.size(); ++cut) {
+    bench.client.Start(action);
+    ++ends;
+    size_t done = 0;
+    size_t failed = 0;
+    while (done + failed < ends) {
+      absl::SleepFor(absl::Microseconds(100));
+      done = bench.log.All<core::AttemptDone>().size();
+      failed = bench.log.All<core::AttemptFailed>().size();
+    }
+    REQUIRE(done + failed == ends);
+    const bool is_done = done > 0;
+    INFO("cut after " << cut);
+    REQUIRE(judge(cut, is_done));
+    if (is_done) {
+      break;
+    }
+  }
+  const auto failures = bench.log.All<core::AttemptFailed>();
+  for (const core::AttemptFailed& it : failures) {
+    REQUIRE(it.failure == AttemptFailure::kBroken);
+  }
+}
+
+TEST_CASE("a stream cut anywhere before its end is broken") {
+  const std::string answer = StreamHead() + StreamEvent(kStarted) +
+                             StreamEvent(kFirst) + StreamEvent(kDone);
+  // All but the chunk's closing line.
+  const size_t whole = answer.size() - 2;
+  CutEverywhere(answer, Completion(), [whole](size_t cut, bool done) {
+    return done == (cut >= whole);
+  });
+}
+
+TEST_CASE("a service's answer cut anywhere before its end is broken") {
+  const std::string answer = HttpAnswer(200, "filed");
+  CutEverywhere(answer, Filing(), [&](size_t cut, bool done) {
+    return done == (cut == answer.size());
+  });
+}
+
+TEST_CASE("a refusal cut anywhere before its end is no refusal") {
+  const std::string answer = HttpAnswer(503, R"({"ran":"no"})");
+  for (size_t cut = 0; cut < answer.size(); ++cut) {
+    Bench bench(Play(answer.substr(0, cut)));
+    INFO("cut after " << cut);
+    REQUIRE(bench.Failure(Completion()).failure == AttemptFailure::kBroken);
+  }
+}
+
 TEST_CASE("a prompt of eight megabytes arrives whole") {
   constexpr size_t kBytes = size_t{8} << 20;
   size_t received = 0;
--- a/tests/target/control_test.cc
+++ b/tests/target/control_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
 #include "http/fake_server.h"
 #include "target/event_log.h"
 #include "umbertrail/target.h"
@@ -164,6 +165,37 @@
   CHECK_FALSE(log.Await<core::TargetUnreachable>(2)[1].refused);
 }
 
+TEST_CASE("whatever a report holds, a poll has one answer") {
+  constexpr int kPolls = 300;
+  const auto random = MakeSeededRandom(7);
+  const std::string report = kReport;
+  const auto mutate = [&random, &report] {
+    std::string text = report;
+    for (uint64_t n = random->Below(8); n > 0; --n) {
+      text[random->Below(text.size())] = static_cast<char>(random->Below(256));
+    }
+    return text;
+  };
+  FakeServer server([&](FakeConnection& it) {
+    while (!it.ReadRequest().empty()) {
+      it.Write(HttpAnswer(200, mutate()));
+    }
+  });
+  EventLog log;
+  TargetClient client(TargetClientSettings(), log.Callback(),
+                      To(server.address()));
+  size_t answers = 0;
+  for (size_t n = 1; n <= kPolls; ++n) {
+    client.Poll({TargetId("t")});
+    while (answers < n) {
+      absl::SleepFor(absl::Microseconds(100));
+      answers = log.All<core::TargetReported>().size() +
+                log.All<core::TargetUnreachable>().size();
+    }
+    REQUIRE(answers == n);
+  }
+}
+
 TEST_CASE("an order's answer is told by kind") {
   CHECK(OrderResult(HttpAnswer(200, R"({"accepted":true})")) ==
         Result::kAccepted);
