Core: the node links: placement by the wanted state, planned stop moves ownership

Change: the node composes fleet, owners, orders and flow; a stopping instance ranks behind the others at once.

--- a/packages/core/include/umbertrail/core/fleet/fleet.h
+++ b/packages/core/include/umbertrail/core/fleet/fleet.h
@@ -62,6 +62,9 @@
   std::optional<InstanceRef> OnPeer(absl::Time now,
                                     const PeerEnvelope& envelope,
                                     Actions* actions);
+  // This instance was asked to leave: it ranks behind the others from now on,
+  // as the others will see it by its envelopes.
+  void OnStopping(absl::Time now);
   void OnPeerUnreachable(absl::Time now, const InstanceId& peer);
 
   void OnTargetReport(absl::Time now,
--- a/packages/core/node.cmake
+++ b/packages/core/node.cmake
@@ -1,1 +1,1 @@
-list(APPEND core_sources src/invariant.cc)
+list(APPEND core_sources src/invariant.cc src/node.cc src/node_dispatch.cc)
--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -287,6 +287,13 @@
   }
 }
 
+void Fleet::OnStopping(absl::Time now) {
+  Advance(now);
+  if (membership_.OnHeard(now, self_, true, true).changed) {
+    MarksChanged(now);
+  }
+}
+
 void Fleet::OnPeerUnreachable(absl::Time now, const InstanceId& peer) {
   Advance(now);
   exchange_.OnUnreachable(peer);
--- a/packages/core/src/node_dispatch.cc
+++ b/packages/core/src/node_dispatch.cc
@@ -104,8 +104,10 @@
     return;
   }
   stopping_ = true;
+  fleet_.OnStopping(now);
   flow_.OnStop(now, actions);
   owners_.OnStop(now, actions);
+  TellFleetChange(now, actions);
 }
 
 void Node::Impl::On(absl::Time now, Tick event, Actions* actions) {
--- a/packages/core/src/request/fleet_placement.cc
+++ b/packages/core/src/request/fleet_placement.cc
@@ -1,6 +1,8 @@
 #include "umbertrail/core/request/fleet_placement.h"
 
-#include <set>
+#include <string>
+
+#include "umbertrail/core/orders/wanted_state.h"
 
 namespace umbertrail::core {
 
@@ -16,24 +18,16 @@
   for (const manifest::EngineClass& it : manifest->engine_classes) {
     memory_of_class[it.name] = it.memory;
   }
-  std::set<std::pair<DataCentreId, ModelId>> deployed;
-  for (const manifest::Deployment& it : manifest->deployments) {
-    if (it.targets > 0) {
-      deployed.insert({it.data_centre, it.model});
-    }
-  }
   for (const TargetInfo& target : fleet_->targets()) {
     if (target.kind == TargetKind::kService) {
       by_service_[target.service].push_back(target.id);
-      continue;
-    }
-    memory_[target.id] = memory_of_class[target.engine_class];
-    for (const manifest::Model& model : manifest->models) {
-      if (deployed.count({target.data_centre, model.id}) != 0) {
-        by_model_[model.id].push_back(target.id);
-      }
+    } else {
+      memory_[target.id] = memory_of_class[target.engine_class];
     }
   }
+  for (const WantedTarget& it : WantedState(*manifest, fleet_->targets())) {
+    by_model_[it.model].push_back(it.target);
+  }
 }
 
 std::vector<TargetId> FleetPlacement::CandidatesFor(const RequestSpec& spec,
