Screening: deaths counted once, told again, and one home's word weighed

Cause: the same request killed three targets when its home lost the word of the first death; two sides of a partition each allowed two. Change: a request stops at the second death it saw itself, deaths are told repeatedly and counted once, one home in reach passes only clean content.

--- a/packages/core/include/umbertrail/core/messages.h
+++ b/packages/core/include/umbertrail/core/messages.h
@@ -194,6 +194,8 @@
   ScreenVerdict verdict = ScreenVerdict::kRun;
   // Deaths counted so far; above 0 the content is suspect.
   uint32_t deaths = 0;
+  // Other runs of it that are open.
+  uint32_t others = 0;
 };
 enum class ScreenEnd {
   kCompleted,  // ran to its end: the content is proven
--- a/packages/core/include/umbertrail/core/request/active_request.h
+++ b/packages/core/include/umbertrail/core/request/active_request.h
@@ -75,6 +75,10 @@
   // its end.
   std::vector<InstanceId> screen_homes;
   std::set<InstanceId> screen_agreed;
+  // Every home that agreed knows of no death and no other open run.
+  bool screen_clean = true;
+  // Targets that died under this request.
+  uint32_t deaths_seen = 0;
   AttemptNumber screen_attempt{0};
 
   // Admission.
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -18,6 +18,7 @@
 #include "umbertrail/core/request/placement.h"
 #include "umbertrail/core/request/request_table.h"
 #include "umbertrail/core/request/retry_budget.h"
+#include "umbertrail/core/request/screen_home.h"
 
 namespace umbertrail::core {
 
@@ -64,6 +65,7 @@
     RandomSource* random = nullptr;
     TicketDesk* tickets = nullptr;
     RedemptionArchive* archive = nullptr;
+    const ScreenHome* screen = nullptr;
     const Mutations* mutations = nullptr;
   };
 
@@ -150,6 +152,15 @@
     absl::Time until;
   };
 
+  // A death told to a home; told again, since a message may be lost while the
+  // content is being sent once more.
+  struct DeathNotice {
+    InstanceId home;
+    ScreenEnded ended;
+    absl::Time next;
+    int left = 0;
+  };
+
   // Arrival (flow_arrival.cc).
   void Admit(absl::Time now, ActiveRequest request, Actions* actions);
   Verdict RefuseWhenStopping(absl::Time now, ActiveRequest* request);
@@ -189,6 +200,7 @@
                            ActiveRequest* r,
                            const InstanceId& home,
                            Actions* actions);
+  void PassWithFewerHomes(absl::Time now, ActiveRequest* r, Actions* actions);
   void OnScreenSilent(absl::Time now, ActiveRequest* r, Actions* actions);
   void DecideProbes(absl::Time now, ActiveRequest* r, Actions* actions);
   void OnTooFewServing(absl::Time now,
@@ -229,6 +241,11 @@
                 bool answered,
                 Actions* actions);
   void Retry(absl::Time now, ActiveRequest* r, Actions* actions);
+  void TellDeath(absl::Time now,
+                 const PostMortem& post_mortem,
+                 Actions* actions);
+  void RepeatDeathNotices(absl::Time now, Actions* actions);
+  void FinishQuarantined(absl::Time now, ActiveRequest* r, Actions* actions);
   void ResolvePostMortem(absl::Time now,
                          const PostMortem& post_mortem,
                          bool died,
@@ -258,6 +275,7 @@
   std::map<uint64_t, RequestId> probes_;
   uint64_t next_probe_ = 1;
   std::vector<PostMortem> post_mortems_;
+  std::vector<DeathNotice> death_notices_;
   absl::Time next_heartbeat_ = absl::InfiniteFuture();
   bool stopping_ = false;
 };
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -35,6 +35,7 @@
   ScreenReply OnRequest(absl::Time now,
                         const InstanceRef& from,
                         const ScreenRequest& request);
+  // A death is counted once however often it is told.
   void OnEnded(absl::Time now,
                const InstanceRef& from,
                const ScreenEnded& ended);
@@ -44,6 +45,9 @@
   // Forgets what is older than kMemory. Cost: linear, at most once a minute.
   void OnTick(absl::Time now);
 
+  // Deaths known here.
+  uint32_t DeathsOf(Fingerprint fingerprint) const;
+
   std::vector<QuarantineStatus> Status() const;
 
  private:
@@ -53,8 +57,14 @@
     AttemptNumber attempt;
     absl::Time expires;
   };
+  struct Death {
+    InstanceRef holder;
+    RequestId request;
+    AttemptNumber attempt;
+  };
   struct Entry {
-    uint32_t deaths = 0;
+    // At most kDeathLimit of them.
+    std::vector<Death> deaths;
     bool proven = false;
     absl::Time touched;
     std::vector<Run> runs;
@@ -63,6 +73,7 @@
   // How many open runs and deaths it allows in sum.
   uint32_t LimitFor(Fingerprint fingerprint) const;
   ScreenVerdict Judge(const Entry& entry, uint32_t limit) const;
+  static void CountDeath(Death death, Entry* entry);
   void DropExpiredRuns(absl::Time now, Entry* entry) const;
 
   InstanceId self_;
--- a/packages/core/src/node.cc
+++ b/packages/core/src/node.cc
@@ -18,8 +18,9 @@
                              RandomSource* random,
                              TicketDesk* tickets,
                              RedemptionArchive* archive,
+                             const ScreenHome* screen,
                              const Mutations* mutations) {
-  return {fleet, placement, random, tickets, archive, mutations};
+  return {fleet, placement, random, tickets, archive, screen, mutations};
 }
 
 }  // namespace
@@ -46,6 +47,7 @@
                       random,
                       &tickets_,
                       &archive_,
+                      &screen_home_,
                       &config_.mutations)) {}
 
 Actions Node::Impl::Handle(absl::Time now, Event event) {
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -13,6 +13,10 @@
 constexpr absl::Duration kRetryLater = absl::Seconds(2);
 // Homes that remember a death, so that one of them replaced forgets nothing.
 constexpr std::size_t kDeathHomes = 3;
+// A death is told again a few times, longer than most partitions last.
+constexpr absl::Duration kNoticeInterval = absl::Seconds(3);
+constexpr int kNoticeRepeats = 10;
+constexpr std::size_t kMaxNotices = 1000;
 constexpr absl::Duration kSuspendPause = absl::Milliseconds(100);
 
 }  // namespace
@@ -222,28 +226,59 @@
                                     bool died,
                                     Actions* actions) {
   if (post_mortem.fingerprint != Fingerprint(0)) {
-    // A death is remembered also by homes that did not know of the run.
-    std::set<InstanceId> homes(post_mortem.screen_homes.begin(),
-                               post_mortem.screen_homes.end());
     if (died) {
-      const auto ranked = RankInstances(post_mortem.fingerprint.value(),
-                                        parts_.fleet->instances(), kDeathHomes);
-      homes.insert(ranked.begin(), ranked.end());
-    }
-    const ScreenEnd end = died ? ScreenEnd::kDied : ScreenEnd::kReleased;
-    for (const InstanceId& home : homes) {
-      actions->push_back(SendPeer{
-          home, ScreenEnded{post_mortem.request, post_mortem.screen_attempt,
-                            post_mortem.fingerprint, end}});
+      TellDeath(now, post_mortem, actions);
+    } else {
+      for (const InstanceId& home : post_mortem.screen_homes) {
+        actions->push_back(SendPeer{
+            home, ScreenEnded{post_mortem.request, post_mortem.screen_attempt,
+                              post_mortem.fingerprint, ScreenEnd::kReleased}});
+      }
     }
   }
   ActiveRequest* r = table_.Find(post_mortem.request);
   if (r != nullptr && r->awaits_post_mortem &&
       r->attempt == post_mortem.attempt) {
+    r->deaths_seen += died ? 1 : 0;
     Retry(now, r, actions);
   }
 }
 
+void RequestFlow::TellDeath(absl::Time now,
+                            const PostMortem& post_mortem,
+                            Actions* actions) {
+  const ScreenEnded ended{post_mortem.request, post_mortem.screen_attempt,
+                          post_mortem.fingerprint, ScreenEnd::kDied};
+  // A death is remembered also by homes that did not know of the run.
+  std::set<InstanceId> homes(post_mortem.screen_homes.begin(),
+                             post_mortem.screen_homes.end());
+  const auto ranked = RankInstances(post_mortem.fingerprint.value(),
+                                    parts_.fleet->instances(), kDeathHomes);
+  homes.insert(ranked.begin(), ranked.end());
+  homes.insert(self_.id);
+  for (const InstanceId& home : homes) {
+    actions->push_back(SendPeer{home, ended});
+    if (home != self_.id && death_notices_.size() < kMaxNotices) {
+      death_notices_.push_back(
+          {home, ended, now + kNoticeInterval, kNoticeRepeats});
+    }
+  }
+}
+
+void RequestFlow::RepeatDeathNotices(absl::Time now, Actions* actions) {
+  for (DeathNotice& it : death_notices_) {
+    if (it.next <= now) {
+      actions->push_back(SendPeer{it.home, it.ended});
+      it.next = now + kNoticeInterval;
+      --it.left;
+    }
+  }
+  death_notices_.erase(
+      std::remove_if(death_notices_.begin(), death_notices_.end(),
+                     [](const DeathNotice& it) { return it.left <= 0; }),
+      death_notices_.end());
+}
+
 void RequestFlow::OnSuspend(absl::Time now,
                             const SuspendAttempt& suspend,
                             Actions* actions) {
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -107,6 +107,9 @@
         if (!r->screened) {
           OnScreenUnreachable(now, r, peer, actions);
         }
+        if (r->phase != Phase::kProbing) {
+          break;
+        }
         for (ProbeState& it : r->probes) {
           if (it.owner == peer && !it.reply.has_value()) {
             it.reply = ProbeReply{};
@@ -154,7 +157,7 @@
   if (r->screen_homes.empty()) {
     AskScreen(now, r, self_.id, actions);
   } else if (r->screen_agreed.size() >= r->screen_homes.size()) {
-    r->screened = true;
+    PassWithFewerHomes(now, r, actions);
   }
 }
 
@@ -197,6 +200,7 @@
   for (const PostMortem& it : overdue) {
     ResolvePostMortem(now, it, false, actions);
   }
+  RepeatDeathNotices(now, actions);
   if (now >= next_heartbeat_) {
     SendHeartbeats(now, actions);
   }
@@ -260,6 +264,9 @@
   for (const PostMortem& it : post_mortems_) {
     next = std::min(next, it.until);
   }
+  for (const DeathNotice& it : death_notices_) {
+    next = std::min(next, it.next);
+  }
   return next;
 }
 
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -164,7 +164,15 @@
     r->screened = true;
     return;
   }
+  // What this instance itself was told needs no answer from elsewhere.
+  const uint32_t known = parts_.screen->DeathsOf(r->spec.fingerprint);
+  if (std::max(known, r->deaths_seen) >= ScreenHome::kDeathLimit &&
+      !parts_.mutations->forget_deaths) {
+    FinishQuarantined(now, r, actions);
+    return;
+  }
   r->screen_attempt = r->attempt;
+  r->screen_clean = r->deaths_seen == 0 && known == 0;
   const auto homes = RankInstances(r->spec.fingerprint.value(),
                                    parts_.fleet->instances(), kScreenHomes);
   for (const InstanceId& home : homes) {
@@ -197,11 +205,7 @@
   }
   r->suspect = r->suspect || reply.deaths > 0;
   if (reply.verdict == ScreenVerdict::kQuarantined) {
-    Outcome outcome;
-    outcome.reason = Reason::kQuarantined;
-    outcome.ran = r->ran() == Ran::kYes ? Ran::kYes : Ran::kUnknown;
-    outcome.detail = "targets died while running this content";
-    Finish(now, r, std::move(outcome), actions);
+    FinishQuarantined(now, r, actions);
     return;
   }
   if (reply.verdict == ScreenVerdict::kWait) {
@@ -211,6 +215,7 @@
     return;
   }
   r->screen_agreed.insert(from.id);
+  r->screen_clean = r->screen_clean && reply.deaths == 0 && reply.others == 0;
   if (r->screen_agreed.size() < r->screen_homes.size()) {
     return;
   }
@@ -222,7 +227,7 @@
                                  ActiveRequest* r,
                                  Actions* actions) {
   if (!r->screen_agreed.empty()) {
-    r->screened = true;
+    PassWithFewerHomes(now, r, actions);
     return;
   }
   const bool asked_self =
@@ -234,6 +239,28 @@
   }
 }
 
+void RequestFlow::PassWithFewerHomes(absl::Time now,
+                                     ActiveRequest* r,
+                                     Actions* actions) {
+  // The home out of reach may have let one run: only a first one may go.
+  if (r->screen_clean) {
+    r->screened = true;
+    return;
+  }
+  ReleaseScreen(r, ScreenEnd::kReleased, actions);
+  Hold(now, r, kScreenWait);
+}
+
+void RequestFlow::FinishQuarantined(absl::Time now,
+                                    ActiveRequest* r,
+                                    Actions* actions) {
+  Outcome outcome;
+  outcome.reason = Reason::kQuarantined;
+  outcome.ran = r->ran() == Ran::kYes ? Ran::kYes : Ran::kUnknown;
+  outcome.detail = "targets died while running this content";
+  Finish(now, r, std::move(outcome), actions);
+}
+
 void RequestFlow::OnProbeReply(absl::Time now,
                                const ProbeReply& reply,
                                Actions* actions) {
@@ -271,6 +298,9 @@
       r->probing_since = now;
       OnScreenSilent(now, r, actions);
     }
+    if (r->phase != Phase::kProbing) {
+      return;
+    }
     if (!r->screened) {
       table_.WakeAt(r, r->probing_since + config_.probe_wait);
       return;
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -48,11 +48,12 @@
   Entry& entry = found->second;
   entry.touched = now;
   DropExpiredRuns(now, &entry);
-  reply.deaths = entry.deaths;
+  reply.deaths = static_cast<uint32_t>(entry.deaths.size());
   if (FindRun(entry.runs, from, request.request, request.attempt) !=
       entry.runs.end()) {
     return reply;
   }
+  reply.others = static_cast<uint32_t>(entry.runs.size());
   reply.verdict = Judge(entry, LimitFor(request.fingerprint));
   if (reply.verdict == ScreenVerdict::kRun && !entry.proven) {
     entry.runs.push_back(
@@ -79,13 +80,15 @@
     entry.runs.erase(run);
   }
   if (ended.end == ScreenEnd::kDied) {
-    ++entry.deaths;
+    CountDeath({from, ended.request, ended.attempt}, &entry);
     entry.proven = false;
   }
   if (ended.end == ScreenEnd::kCompleted) {
     // One death beside others was not this content's doing: it ran whole.
-    entry.deaths = entry.deaths < kDeathLimit ? 0 : entry.deaths;
-    entry.proven = entry.deaths == 0;
+    if (entry.deaths.size() < kDeathLimit) {
+      entry.deaths.clear();
+    }
+    entry.proven = entry.deaths.empty();
     entry.runs.clear();
   }
 }
@@ -113,8 +116,9 @@
 std::vector<QuarantineStatus> ScreenHome::Status() const {
   std::vector<QuarantineStatus> status;
   for (const auto& [fingerprint, entry] : entries_) {
-    if (entry.deaths > 0) {
-      status.push_back({fingerprint, static_cast<int>(entry.deaths)});
+    if (!entry.deaths.empty()) {
+      const int n = static_cast<int>(entry.deaths.size());
+      status.push_back({fingerprint, n});
     }
   }
   return status;
@@ -128,15 +132,33 @@
 }
 
 ScreenVerdict ScreenHome::Judge(const Entry& entry, uint32_t limit) const {
-  if (entry.deaths >= kDeathLimit) {
+  if (entry.deaths.size() >= kDeathLimit) {
     return ScreenVerdict::kQuarantined;
   }
-  if (entry.proven || entry.deaths + entry.runs.size() < limit) {
+  if (entry.proven || entry.deaths.size() + entry.runs.size() < limit) {
     return ScreenVerdict::kRun;
   }
   return ScreenVerdict::kWait;
 }
 
+void ScreenHome::CountDeath(Death death, Entry* entry) {
+  const auto same = [&](const Death& it) {
+    return it.holder == death.holder && it.request == death.request &&
+           it.attempt == death.attempt;
+  };
+  const bool known =
+      std::any_of(entry->deaths.begin(), entry->deaths.end(), same);
+  if (!known && entry->deaths.size() < kDeathLimit) {
+    entry->deaths.push_back(std::move(death));
+  }
+}
+
+uint32_t ScreenHome::DeathsOf(Fingerprint fingerprint) const {
+  const auto it = entries_.find(fingerprint);
+  return it == entries_.end() ? 0
+                              : static_cast<uint32_t>(it->second.deaths.size());
+}
+
 void ScreenHome::DropExpiredRuns(absl::Time now, Entry* entry) const {
   auto& runs = entry->runs;
   runs.erase(std::remove_if(runs.begin(), runs.end(),
--- a/packages/peer/src/message_fields.h
+++ b/packages/peer/src/message_fields.h
@@ -261,7 +261,8 @@
                     &core::ScreenReply::attempt,
                     &core::ScreenReply::fingerprint,
                     &core::ScreenReply::verdict,
-                    &core::ScreenReply::deaths);
+                    &core::ScreenReply::deaths,
+                    &core::ScreenReply::others);
 
 template <>
 inline constexpr auto kFields<core::ScreenEnded> =
--- a/tests/core/request_flow_test.cc
+++ b/tests/core/request_flow_test.cc
@@ -132,10 +132,11 @@
   std::unique_ptr<RandomSource> random = MakeSeededRandom(1);
   TicketDesk tickets{kSelf, &signer, &mutations};
   RedemptionArchive archive;
-  RequestFlow flow{
-      FlowConfig(),
-      kSelf,
-      {&fleet, &placement, random.get(), &tickets, &archive, &mutations}};
+  ScreenHome screen{kSelf.id, &fleet, &mutations};
+  RequestFlow flow{FlowConfig(),
+                   kSelf,
+                   {&fleet, &placement, random.get(), &tickets, &archive,
+                    &screen, &mutations}};
   absl::Time now = absl::UnixEpoch();
   Actions actions;
 
