Screening asks a further home in place of one too new to know

Change: a home younger than 30 s says so and one more is asked; deaths are told to whoever are the homes at each repeat.

--- a/packages/core/include/umbertrail/core/messages.h
+++ b/packages/core/include/umbertrail/core/messages.h
@@ -196,6 +196,8 @@
   uint32_t deaths = 0;
   // Other runs of it that are open.
   uint32_t others = 0;
+  // The home is too new to know what its predecessor counted.
+  bool young = false;
 };
 enum class ScreenEnd {
   kCompleted,  // ran to its end: the content is proven
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -152,10 +152,9 @@
     absl::Time until;
   };
 
-  // A death told to a home; told again, since a message may be lost while the
-  // content is being sent once more.
+  // A death told to the homes; told again, since a message may be lost while
+  // the content is being sent once more.
   struct DeathNotice {
-    InstanceId home;
     ScreenEnded ended;
     absl::Time next;
     int left = 0;
@@ -196,6 +195,8 @@
                  ActiveRequest* r,
                  const InstanceId& home,
                  Actions* actions);
+  // Asks one home more, for one that is too new to know.
+  void AskFurtherHome(absl::Time now, ActiveRequest* r, Actions* actions);
   void OnScreenUnreachable(absl::Time now,
                            ActiveRequest* r,
                            const InstanceId& home,
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -20,6 +20,8 @@
 class ScreenHome {
  public:
   static constexpr uint32_t kDeathLimit = 2;
+  // Deaths are told again for as long as this, so an older home knows them.
+  static constexpr absl::Duration kYoung = absl::Seconds(30);
   // A caller that sends the same content again does so within minutes.
   static constexpr absl::Duration kMemory = absl::Minutes(30);
   // At 200 bytes an entry this stays far under a node's memory limit.
@@ -80,6 +82,8 @@
   const FleetView* fleet_;
   const Mutations* mutations_;
   std::map<Fingerprint, Entry> entries_;
+  // When it was first asked or told of anything, which is soon after its start.
+  absl::Time born_ = absl::InfiniteFuture();
   absl::Time swept_ = absl::InfinitePast();
 };
 
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -1,7 +1,6 @@
 // Attempts: relays an answer in order and decides what a failure means.
 
 #include <algorithm>
-#include <set>
 
 #include "umbertrail/core/invariant.h"
 #include "umbertrail/core/request/rendezvous.h"
@@ -249,29 +248,29 @@
                             Actions* actions) {
   const ScreenEnded ended{post_mortem.request, post_mortem.screen_attempt,
                           post_mortem.fingerprint, ScreenEnd::kDied};
-  // A death is remembered also by homes that did not know of the run.
-  std::set<InstanceId> homes(post_mortem.screen_homes.begin(),
-                             post_mortem.screen_homes.end());
-  const auto ranked = RankInstances(post_mortem.fingerprint.value(),
-                                    parts_.fleet->instances(), kDeathHomes);
-  homes.insert(ranked.begin(), ranked.end());
-  homes.insert(self_.id);
-  for (const InstanceId& home : homes) {
+  for (const InstanceId& home : post_mortem.screen_homes) {
     actions->push_back(SendPeer{home, ended});
-    if (home != self_.id && death_notices_.size() < kMaxNotices) {
-      death_notices_.push_back(
-          {home, ended, now + kNoticeInterval, kNoticeRepeats});
-    }
+  }
+  if (death_notices_.size() < kMaxNotices) {
+    death_notices_.push_back({ended, now, kNoticeRepeats});
+    RepeatDeathNotices(now, actions);
   }
 }
 
 void RequestFlow::RepeatDeathNotices(absl::Time now, Actions* actions) {
   for (DeathNotice& it : death_notices_) {
-    if (it.next <= now) {
-      actions->push_back(SendPeer{it.home, it.ended});
-      it.next = now + kNoticeInterval;
-      --it.left;
+    if (it.next > now) {
+      continue;
+    }
+    // The homes by now: also those that did not know of the run.
+    for (const InstanceId& home :
+         RankInstances(it.ended.fingerprint.value(), parts_.fleet->instances(),
+                       kDeathHomes)) {
+      actions->push_back(SendPeer{home, it.ended});
     }
+    actions->push_back(SendPeer{self_.id, it.ended});
+    it.next = now + kNoticeInterval;
+    --it.left;
   }
   death_notices_.erase(
       std::remove_if(death_notices_.begin(), death_notices_.end(),
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -20,6 +20,8 @@
 constexpr int kMaxRounds = 8;
 // Both must agree, so that one of them replaced forgets no open run.
 constexpr std::size_t kScreenHomes = 2;
+// With further ones in place of those that are new.
+constexpr std::size_t kMostScreenHomes = 4;
 // Memory that a group's member leaves free for the engine's own overhead.
 constexpr double kGroupFill = 0.9;
 
@@ -216,6 +218,9 @@
   }
   r->screen_agreed.insert(from.id);
   r->screen_clean = r->screen_clean && reply.deaths == 0 && reply.others == 0;
+  if (reply.young) {
+    AskFurtherHome(now, r, actions);
+  }
   if (r->screen_agreed.size() < r->screen_homes.size()) {
     return;
   }
@@ -239,6 +244,21 @@
   }
 }
 
+void RequestFlow::AskFurtherHome(absl::Time now,
+                                 ActiveRequest* r,
+                                 Actions* actions) {
+  const auto homes = RankInstances(r->spec.fingerprint.value(),
+                                   parts_.fleet->instances(), kMostScreenHomes);
+  for (const InstanceId& home : homes) {
+    const bool asked = std::find(r->screen_homes.begin(), r->screen_homes.end(),
+                                 home) != r->screen_homes.end();
+    if (!asked) {
+      AskScreen(now, r, home, actions);
+      return;
+    }
+  }
+}
+
 void RequestFlow::PassWithFewerHomes(absl::Time now,
                                      ActiveRequest* r,
                                      Actions* actions) {
@@ -354,8 +374,10 @@
     return;
   }
   const bool silent = serving == 0 && !AllReplied(r->probes);
-  const bool passes = silent || r->last_refusal == Reason::kStopping;
-  if (passes && r->probe_rounds < kMaxRounds) {
+  // A stopping owner's targets pass to another within the lists' lag.
+  const bool moving = r->last_refusal == Reason::kStopping &&
+                      now - r->arrived < r->TimeLeft(now);
+  if (moving || (silent && r->probe_rounds < kMaxRounds)) {
     Hold(now, r, kSilentPause);
     return;
   }
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -35,6 +35,8 @@
                                   const ScreenRequest& request) {
   ScreenReply reply{request.request, request.attempt, request.fingerprint,
                     ScreenVerdict::kRun, 0};
+  born_ = std::min(born_, now);
+  reply.young = now - born_ < kYoung;
   if (mutations_->forget_deaths) {
     return reply;
   }
@@ -104,6 +106,7 @@
 }
 
 void ScreenHome::OnTick(absl::Time now) {
+  born_ = std::min(born_, now);
   if (now - swept_ < kSweepInterval) {
     return;
   }
--- a/packages/peer/src/message_fields.h
+++ b/packages/peer/src/message_fields.h
@@ -262,7 +262,8 @@
                     &core::ScreenReply::fingerprint,
                     &core::ScreenReply::verdict,
                     &core::ScreenReply::deaths,
-                    &core::ScreenReply::others);
+                    &core::ScreenReply::others,
+                    &core::ScreenReply::young);
 
 template <>
 inline constexpr auto kFields<core::ScreenEnded> =
