--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 lint: build
 	@tools/lint.sh $(BUILD)
+
+measure: build
+	@$(BUILD)/tools/measure_routing
--- a/packages/core/src/owner/target_owner.cc
+++ b/packages/core/src/owner/target_owner.cc
@@ -475,7 +475,10 @@
     return;
   }
   Learn(*charge, settled);
-  if (CameFarTooLate(*charge, settled.first_token)) {
+  // A stream breaks before any report can tell that its target restarted; a
+  // report taken later clears the suspicion.
+  const bool broken = settled.result == AttemptResult::kBroken && !IsService();
+  if (broken || CameFarTooLate(*charge, settled.first_token)) {
     budget_.OnSuspectedRestart(now);
   }
   const bool exported = settled.result == AttemptResult::kSuspended;
@@ -486,8 +489,7 @@
     suspensions_.erase(settled.request);
   }
   // A broken stream may still run on the engine, which a cold one can't bear.
-  const bool may_run = settled.result == AttemptResult::kBroken;
-  if (may_run && budget_.cold() && !IsService()) {
+  if (broken) {
     charge->state = ChargeState::kSilent;
     charge->heard_at = now;
   } else {
--- a/tools/demo/caller.cc
+++ b/tools/demo/caller.cc
@@ -75,8 +75,8 @@
     }
     if (http::FlagField(value, "done")) {
       const auto total = NumberField(value, "total_tokens");
-      total_ = total.has_value() ? *total
-                                 : NumberField(value, "total").value_or(-1);
+      total_ =
+          total.has_value() ? *total : NumberField(value, "total").value_or(-1);
       // An engine's stream ends here, an entry's with [DONE].
       ended_ = !total.has_value() && total_ >= 0;
       return !ended_;
@@ -133,10 +133,9 @@
                        absl::Duration limit) {
   http::Link link = LinkTo(address, limit);
   StreamedAnswer streamed(prompt, absl::Now());
-  const http::Answer answer =
-      link.Send(call, kMaxErrorBytes, [&](std::string_view bytes) {
-        return streamed.TakeBytes(bytes);
-      });
+  const http::Answer answer = link.Send(
+      call, kMaxErrorBytes,
+      [&](std::string_view bytes) { return streamed.TakeBytes(bytes); });
   return streamed.Judge(answer);
 }
 
@@ -153,8 +152,7 @@
   call.headers = {
       {"Authorization",
        absl::StrCat("Bearer ", account.id, ":", account.secret)},
-      {"X-Deadline-Ms",
-       absl::StrCat(absl::ToInt64Milliseconds(time_limit))}};
+      {"X-Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(time_limit))}};
   call.body = DumpJson({{"model", model},
                         {"prompt", prompt.text},
                         {"prompt_tokens", prompt.tokens},
--- a/tools/demo/filing.cc
+++ b/tools/demo/filing.cc
@@ -45,8 +45,7 @@
   call.method = "POST";
   call.path = "/v1/tickets";
   call.headers = {KeyOf(account)};
-  call.body =
-      DumpJson({{"service", filing.service}, {"call", filing.call}});
+  call.body = DumpJson({{"service", filing.service}, {"call", filing.call}});
   const http::Answer answer = SendTo(entry, call);
   return IsWhole(answer) ? TextField(ParseJson(answer.body), "ticket")
                          : std::nullopt;
@@ -58,8 +57,7 @@
                     const std::string& ticket) {
   http::Call call;
   call.method = "POST";
-  call.path =
-      absl::StrCat("/v1/services/", filing.service, "/", filing.call);
+  call.path = absl::StrCat("/v1/services/", filing.service, "/", filing.call);
   call.headers = {KeyOf(account), {"X-Ticket", ticket}};
   call.body = filing.body;
   http::Answer answer = SendTo(entry, call);
--- a/tools/demo/tally.cc
+++ b/tools/demo/tally.cc
@@ -86,7 +86,7 @@
               "first token p50 / p95 / p99 (ms)");
   for (const auto& it : classes_) {
     const ClassTally& tally = it.second;
-    std::printf("%-22s %6lld %9lld %8lld %8lld %4lld %6lld %5lld", 
+    std::printf("%-22s %6lld %9lld %8lld %8lld %4lld %6lld %5lld",
                 it.first.c_str(), Wide(tally.sent), Wide(tally.complete),
                 Wide(tally.refused), Wide(tally.retries), Wide(tally.cut),
                 Wide(tally.wrong), Wide(tally.lost));
@@ -107,8 +107,8 @@
 
 bool Tally::HasFault() const {
   absl::MutexLock lock(&mutex_);
-  const bool any_fault = std::any_of(
-      classes_.begin(), classes_.end(), [](const auto& it) {
+  const bool any_fault =
+      std::any_of(classes_.begin(), classes_.end(), [](const auto& it) {
         return it.second.cut > 0 || it.second.wrong > 0 || it.second.lost > 0;
       });
   return any_fault || filings_.changed > 0 || filings_.lost > 0;
--- a/tools/demo/workload.cc
+++ b/tools/demo/workload.cc
@@ -81,12 +81,10 @@
                 const LengthPlan& plan,
                 Chooser& choose,
                 Tally& tally) {
-  const auto spread =
-      static_cast<uint64_t>(plan.longest - plan.shortest + 1);
+  const auto spread = static_cast<uint64_t>(plan.longest - plan.shortest + 1);
   const int64_t tokens =
       plan.shortest + static_cast<int64_t>(choose.random().Below(spread));
-  const Prompt prompt =
-      MakePrompt(choose.random(), tokens, plan.max_tokens);
+  const Prompt prompt = MakePrompt(choose.random(), tokens, plan.max_tokens);
   const Account& account = choose.AnyAccount();
   TryResult result;
   int tries = 0;
@@ -205,16 +203,14 @@
   Chooser choose(settings, settings.seed);
   for (int n = 0; n < count; ++n) {
     const auto engine = static_cast<size_t>(n) % settings.engines.size();
-    const Prompt direct = MakePrompt(choose.random(), kOverheadPromptTokens,
-                                     kOverheadMaxTokens);
-    const TryResult first =
-        AskEngine(settings.engines[engine], settings.model,
-                  absl::StrCat("direct-", n), direct);
-    const Prompt through = MakePrompt(choose.random(), kOverheadPromptTokens,
-                                      kOverheadMaxTokens);
-    const TryResult second =
-        Complete(choose.Entry(), choose.AnyAccount(), settings.model, through,
-                 kOverheadLimit);
+    const Prompt direct =
+        MakePrompt(choose.random(), kOverheadPromptTokens, kOverheadMaxTokens);
+    const TryResult first = AskEngine(settings.engines[engine], settings.model,
+                                      absl::StrCat("direct-", n), direct);
+    const Prompt through =
+        MakePrompt(choose.random(), kOverheadPromptTokens, kOverheadMaxTokens);
+    const TryResult second = Complete(choose.Entry(), choose.AnyAccount(),
+                                      settings.model, through, kOverheadLimit);
     if (first.end != TryEnd::kComplete || second.end != TryEnd::kComplete) {
       ++samples.failures;
       continue;
