Owner: a target that nobody here watched counts as cold until a fresh report

Cause: a new owner took a lagging report of a former boot for the present state and filled an engine that had just restarted.

Change: gaining a claim without a fresh handover makes the target suspect until a report taken since then; a broken stream does the same. The measure's load is counted in engine seconds.

--- a/packages/core/include/umbertrail/core/owner/owner_config.h
+++ b/packages/core/include/umbertrail/core/owner/owner_config.h
@@ -40,7 +40,7 @@
   int max_medium_prefills = 2;
   // Short prompts are granted while the short prefill work in front of them
   // takes no longer than this. The rest waits here, where order can change.
-  absl::Duration max_short_backlog = absl::Milliseconds(150);
+  absl::Duration max_short_backlog = absl::Milliseconds(400);
   // Part of a target's budget that only short prompts may use.
   double short_share = 0.15;
   // A waiting prompt goes before shorter ones once this part of its slack is
--- a/packages/core/include/umbertrail/core/owner/target_owner.h
+++ b/packages/core/include/umbertrail/core/owner/target_owner.h
@@ -185,6 +185,7 @@
   int failed_polls_ = 0;
   absl::Time next_poll_ = absl::InfinitePast();
   absl::Time owned_at_ = absl::InfinitePast();
+  absl::Time handed_over_at_ = absl::InfinitePast();
   absl::Time next_dispatch_ = absl::InfiniteFuture();
   absl::Time asked_holders_at_ = absl::InfinitePast();
   // Fading means over attempts that ended well: time on the target, and output
--- a/packages/core/include/umbertrail/core/owner/warmup_budget.h
+++ b/packages/core/include/umbertrail/core/owner/warmup_budget.h
@@ -33,14 +33,16 @@
                 const BootId& boot,
                 TargetState state);
 
-  // The target refused a connection, or a first token came far too late: it is
-  // cold until a report taken after `now` says otherwise.
+  // The target refused a connection, broke a stream or gave a first token far
+  // too late, or nobody here watched it before `now`: it is cold until a report
+  // taken after `now` says otherwise.
   void OnSuspectedRestart(absl::Time now);
 
   // An attempt ended well after computing `work` tokens.
   void OnCompleted(Tokens work);
 
-  // A former owner's view, for a target of which no report has come yet.
+  // The view of a former owner who watched the target until now; it clears a
+  // suspicion about the same boot.
   void OnHandover(const BootId& boot, bool cold, Tokens budget);
 
   Tokens budget() const;
--- a/packages/core/src/owner/target_owner.cc
+++ b/packages/core/src/owner/target_owner.cc
@@ -30,6 +30,8 @@
 // A ledger is handed over while reports are at most this old: an older one
 // means that this process slept.
 constexpr absl::Duration kHandoverReportAge = absl::Seconds(15);
+// A former owner's view of a target is as good as an own one this long.
+constexpr absl::Duration kHandoverHolds = absl::Seconds(2);
 // Requests whose suspensions are counted.
 constexpr size_t kMaxSuspensionCounts = 4096;
 // A long prompt with less time than this left is not suspended.
@@ -599,6 +601,7 @@
 
 void TargetOwner::OnHandover(absl::Time now, const OwnerHandover& handover) {
   owned_at_ = now;
+  handed_over_at_ = now;
   budget_.OnHandover(handover.boot, handover.cold, handover.budget);
   if (budget_.boot() != handover.boot) {
     return;
@@ -650,7 +653,14 @@
 
 void TargetOwner::RefreshClaim(absl::Time now, Actions* actions) {
   const bool whole = gate_.whole();
+  const OwnerClaim former = gate_.claim();
   gate_.OnClaim(now, context_.fleet->ClaimOf(target_, now));
+  const bool gained =
+      former == OwnerClaim::kNone && gate_.claim() != OwnerClaim::kNone;
+  if (gained && now - handed_over_at_ > kHandoverHolds) {
+    // It may have restarted while nobody here watched it.
+    budget_.OnSuspectedRestart(now);
+  }
   if (gate_.claim() != OwnerClaim::kNone) {
     owned_at_ = now;
   }
--- a/packages/core/src/owner/warmup_budget.cc
+++ b/packages/core/src/owner/warmup_budget.cc
@@ -19,9 +19,11 @@
   const bool first = !reported();
   const bool restarted = !first && boot != boot_;
   boot_ = boot;
-  if (first) {
-    phase_ =
-        state == TargetState::kCold ? WarmupPhase::kCold : WarmupPhase::kWarm;
+  if (first && state != TargetState::kCold) {
+    phase_ = WarmupPhase::kWarm;
+    if (taken_at <= cold_since_) {
+      OnSuspectedRestart(cold_since_);
+    }
     return false;
   }
   if (restarted || state == TargetState::kCold) {
@@ -58,6 +60,10 @@
 }
 
 void WarmupBudget::OnHandover(const BootId& boot, bool cold, Tokens budget) {
+  if (suspected_ && boot == boot_ && !cold) {
+    phase_ = unsuspected_phase_;
+    suspected_ = false;
+  }
   if (reported()) {
     return;
   }
--- a/tools/measure/cold_owners.cc
+++ b/tools/measure/cold_owners.cc
@@ -158,8 +158,8 @@
     request.max_output = Tokens(64);
     request.time_left = absl::Seconds(30);
     request.time_total = absl::Seconds(30);
-    const auto reply =
-        tables_[flight.owner]->OnAdmit(loop_.now(), Self(flight.owner), request);
+    const auto reply = tables_[flight.owner]->OnAdmit(
+        loop_.now(), Self(flight.owner), request);
     if (reply.decision == core::AdmitDecision::kGranted) {
       ++results_.granted;
       loop_.After(kHop * random_->Below(100), [this, n] { Start(n); });
--- a/tools/measure/engine_fake.h
+++ b/tools/measure/engine_fake.h
@@ -27,8 +27,10 @@
   // Age of what it reports.
   absl::Duration report_lag = absl::Seconds(2);
 
-  // Prompt tokens a second with a small batch, the engine's capacity.
-  double Capacity() const;
+  // Engine seconds of one prompt token, in steps of full chunks, and of one
+  // output token beside them.
+  double PromptCost() const;
+  double OutputCost() const;
 };
 
 // One attempt as its caller sees it; the callbacks come at most once.
--- a/tools/measure/owner_routing.cc
+++ b/tools/measure/owner_routing.cc
@@ -182,11 +182,11 @@
         ++first_open_;
       }
       if (flights_[i].running) {
-        alive.attempts.push_back(
-            {RequestId(std::to_string(i)), AttemptNumber(flights_[i].attempt),
-             fleet_.targets()[flights_[i].target].id,
-             Tokens(jobs_[i].prompt + jobs_[i].max_output),
-             Tokens(flights_[i].generated)});
+        alive.attempts.push_back({RequestId(std::to_string(i)),
+                                  AttemptNumber(flights_[i].attempt),
+                                  fleet_.targets()[flights_[i].target].id,
+                                  Tokens(jobs_[i].prompt + jobs_[i].max_output),
+                                  Tokens(flights_[i].generated)});
       }
     }
     table_.OnAlive(loop_.now(), self_, alive);
--- a/tools/measure/workload.h
+++ b/tools/measure/workload.h
@@ -29,8 +29,11 @@
 struct WorkloadSpec {
   uint64_t seed = 1;
   absl::Duration length;
-  // Prompt tokens offered a second.
-  double tokens_per_second = 0;
+  // Engine seconds that the requests need in each second, over all engines.
+  double load = 0;
+  // Engine seconds of one prompt token and of one output token.
+  double prompt_cost = 0;
+  double output_cost = 0;
   // Parts of the requests with 100 k tokens and more, and with 4 k to 32 k.
   double long_share = 0;
   double medium_share = 0;
