--- a/packages/core/include/umbertrail/core/fleet/config.h
+++ b/packages/core/include/umbertrail/core/fleet/config.h
@@ -31,6 +31,10 @@
   // is stale.
   absl::Duration list_doubt_limit = absl::Seconds(5);
 
+  // An instance that went from the list without a word of leaving may be there
+  // for others, and claim what it ranked high for, for this long.
+  absl::Duration suspect_limit = absl::Minutes(10);
+
   // Between two queries to the same partner.
   absl::Duration exchange_interval = absl::Seconds(3);
   // A query without an answer for this long counts as unanswered.
--- a/packages/core/include/umbertrail/core/fleet/membership.h
+++ b/packages/core/include/umbertrail/core/fleet/membership.h
@@ -46,8 +46,8 @@
   // A report of a target. Returns whether a mark changed.
   bool OnReport(const TargetId& id, const TargetReport& report);
 
-  // Forgets what left the lists long ago.
-  void OnTick(absl::Time now);
+  // Forgets what left the lists long ago. Returns whether `departed` changed.
+  bool OnTick(absl::Time now);
 
   // In id order.
   const std::vector<InstanceInfo>& instances() const { return instances_; }
@@ -56,6 +56,13 @@
   const InstanceInfo* FindInstance(const InstanceId& id) const;
   const TargetInfo* FindTarget(const TargetId& id) const;
 
+  // An instance that went from the list without a word of leaving.
+  struct Departed {
+    InstanceInfo info;
+    absl::Time at;
+  };
+  const std::vector<Departed>& departed() const { return departed_; }
+
   bool InstanceLeaving(const InstanceId& id) const;
   bool InstanceDead(const InstanceId& id) const;
   bool TargetLeaving(const TargetId& id) const;
@@ -94,10 +101,13 @@
     absl::Time missing_since = absl::InfiniteFuture();
   };
 
+  void NoteDeparted(absl::Time now, const std::vector<InstanceInfo>& former);
+
   const FleetConfig config_;
   const InstanceId self_;
   std::vector<InstanceInfo> instances_;
   std::vector<TargetInfo> targets_;
+  std::vector<Departed> departed_;
   std::map<InstanceId, Peer> peers_;
   std::map<TargetId, Target> marks_;
   uint64_t instances_version_ = 0;
--- a/packages/core/include/umbertrail/core/fleet/ownership.h
+++ b/packages/core/include/umbertrail/core/fleet/ownership.h
@@ -16,6 +16,10 @@
 // Length of a ranking: more instances than can be lost while the list lags.
 inline constexpr size_t kMaxRanking = 16;
 
+// Instances after the first whose lists may make them claim a target that they
+// see nobody own.
+inline constexpr size_t kContenders = 3;
+
 // Score of an instance as the owner of a target, by rendezvous hash; the
 // highest owns. An instance of the target's data centre draws several times, so
 // that it wins more often. Equal on every instance.
@@ -45,8 +49,10 @@
   std::vector<InstanceId> Ranking(const TargetId& target) const;
   OwnerClaim ClaimOf(const TargetId& target, absl::Time now) const;
 
-  // Instances that stand beside this one at the top of a target's order: the
-  // next one where it is first, the first one where it is next. In id order.
+  // Instances that stand beside this one at the top of a target's order, and
+  // must each know when the other is gone: the contenders where it is first,
+  // the first one where it is a contender, and those that went from the list
+  // without a word and would stand there. In id order.
   std::vector<InstanceId> Rivals() const;
 
  private:
@@ -57,14 +63,20 @@
     absl::Time first_since = absl::InfiniteFuture();
     // Instances before this one that are listed as live and seen dead here.
     int dead_before = 0;
-    // The next instance is listed as live and seen dead here.
+    // One of the next instances is listed as live and seen dead here.
     bool next_dead = false;
+    // Another may claim half until then, by a list read earlier.
+    absl::Time contested_until = absl::InfinitePast();
+    // Those of them that went from the list.
+    std::vector<InstanceId> suspects;
   };
 
   void SortOrder(const TargetInfo& target,
                  const std::map<DataCentreId, RegionId>& regions,
                  Place* place) const;
   void UpdatePlace(absl::Time now, Place* place) const;
+  void NoteContest(absl::Time now, Place* place) const;
+  void NoteSuspects(const TargetInfo& target, Place* place) const;
   bool Confirmed(absl::Time now) const;
   bool Doubted(absl::Time now) const;
   const InstanceId& IdAt(uint16_t index) const;
--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -340,7 +340,9 @@
   }
   AskWhereNeeded(now, actions);
   parts_.OnTick(now, actions);
-  membership_.OnTick(now);
+  if (membership_.OnTick(now)) {
+    ListsChanged(now);
+  }
   next_tick_ = now + config_.tick_interval;
 }
 
--- a/packages/core/src/fleet/membership.cc
+++ b/packages/core/src/fleet/membership.cc
@@ -93,8 +93,10 @@
   }
   instances_known_ = true;
   instances_version_ = event.version;
+  const std::vector<InstanceInfo> former = std::move(instances_);
   instances_ = event.instances;
   SortById(&instances_);
+  NoteDeparted(now, former);
   for (const InstanceInfo& it : instances_) {
     Peer& peer = peers_[it.id];
     peer.unlisted_since = absl::InfiniteFuture();
@@ -108,6 +110,20 @@
   return true;
 }
 
+void Membership::NoteDeparted(absl::Time now,
+                              const std::vector<InstanceInfo>& former) {
+  const auto listed = [this](const Departed& it) {
+    return FindInstance(it.info.id) != nullptr;
+  };
+  departed_.erase(std::remove_if(departed_.begin(), departed_.end(), listed),
+                  departed_.end());
+  for (const InstanceInfo& it : former) {
+    if (FindInstance(it.id) == nullptr && !InstanceLeaving(it.id)) {
+      departed_.push_back({it, now});
+    }
+  }
+}
+
 bool Membership::OnTargetList(absl::Time now, const TargetListRead& event) {
   if (targets_known_ && event.version <= targets_version_) {
     return false;
@@ -196,9 +212,16 @@
   return TargetLeaving(id) != before;
 }
 
-void Membership::OnTick(absl::Time now) {
+bool Membership::OnTick(absl::Time now) {
   Forget(&peers_, now - config_.forget_after);
   Forget(&marks_, now - config_.forget_after);
+  const auto over = [&](const Departed& it) {
+    return now - it.at > config_.suspect_limit;
+  };
+  const size_t n = departed_.size();
+  departed_.erase(std::remove_if(departed_.begin(), departed_.end(), over),
+                  departed_.end());
+  return departed_.size() != n;
 }
 
 const InstanceInfo* Membership::FindInstance(const InstanceId& id) const {
--- a/packages/core/src/fleet/ownership.cc
+++ b/packages/core/src/fleet/ownership.cc
@@ -63,7 +63,9 @@
   for (const TargetInfo& it : membership_->targets()) {
     Place& place = places_[it.id];
     place.first_since = former[it.id].first_since;
+    place.contested_until = former[it.id].contested_until;
     SortOrder(it, regions, &place);
+    NoteSuspects(it, &place);
   }
   OnMarksChanged(now);
 }
@@ -122,7 +124,8 @@
   if (place.dead_before > 1 || Doubted(now)) {
     return OwnerClaim::kSettling;
   }
-  const bool contested = place.dead_before > 0 || place.next_dead;
+  const bool contested =
+      place.dead_before > 0 || place.next_dead || now < place.contested_until;
   return contested || !Confirmed(now) ? OwnerClaim::kHalf : OwnerClaim::kFull;
 }
 
@@ -131,15 +134,21 @@
   for (const auto& [target, place] : places_) {
     std::vector<InstanceId> top;
     for (const uint16_t i : place.order) {
-      if (top.size() == 2) {
+      if (top.size() > kContenders) {
         break;
       }
       if (!membership_->InstanceLeaving(IdAt(i))) {
         top.push_back(IdAt(i));
       }
     }
-    if (std::find(top.begin(), top.end(), self_) != top.end()) {
+    const auto self = std::find(top.begin(), top.end(), self_);
+    if (self == top.begin()) {
       rivals.insert(top.begin(), top.end());
+    } else if (self != top.end()) {
+      rivals.insert(top.front());
+    }
+    if (self != top.end()) {
+      rivals.insert(place.suspects.begin(), place.suspects.end());
     }
   }
   rivals.erase(self_);
@@ -174,6 +183,7 @@
 void Ownership::UpdatePlace(absl::Time now, Place* place) const {
   bool found = false;
   bool ended = false;
+  size_t contenders = 0;
   place->dead_before = 0;
   place->next_dead = false;
   // Instances that leave come after all others.
@@ -185,8 +195,8 @@
       }
       const bool dead = membership_->InstanceDead(id);
       if (found) {
-        place->next_dead = dead;
-        ended = true;
+        place->next_dead = place->next_dead || dead;
+        ended = ++contenders == kContenders;
       } else if (id == self_) {
         found = true;
       } else if (dead) {
@@ -199,6 +209,33 @@
   }
   place->first_since =
       found ? std::min(place->first_since, now) : absl::InfiniteFuture();
+  NoteContest(now, place);
+}
+
+void Ownership::NoteContest(absl::Time now, Place* place) const {
+  if (place->dead_before > 0 || place->next_dead) {
+    const absl::Time until =
+        now + config_.list_lag + config_.list_confirm_limit;
+    place->contested_until = std::max(place->contested_until, until);
+  }
+}
+
+void Ownership::NoteSuspects(const TargetInfo& target, Place* place) const {
+  if (place->order.empty()) {
+    return;
+  }
+  const size_t last = std::min(kContenders, place->order.size() - 1);
+  const InstanceInfo& least = membership_->instances()[place->order[last]];
+  const bool few = place->order.size() <= kContenders;
+  const uint64_t least_score = OwnerScore(target.id, least, target.data_centre);
+  for (const Membership::Departed& it : membership_->departed()) {
+    const uint64_t score = OwnerScore(target.id, it.info, target.data_centre);
+    if (few || score > least_score) {
+      const absl::Time until = it.at + config_.suspect_limit;
+      place->contested_until = std::max(place->contested_until, until);
+      place->suspects.push_back(it.info.id);
+    }
+  }
 }
 
 bool Ownership::Confirmed(absl::Time now) const {
