--- a/packages/daemon/include/umbertrail/daemon.h
+++ b/packages/daemon/include/umbertrail/daemon.h
@@ -8,6 +8,7 @@
 #include "umbertrail/daemon/admin_server.h"
 #include "umbertrail/daemon/caller_server.h"
 #include "umbertrail/daemon/core_loop.h"
+#include "umbertrail/daemon/event_queue.h"
 #include "umbertrail/daemon/filters.h"
 #include "umbertrail/daemon/node_driver.h"
 #include "umbertrail/daemon/ports.h"
--- a/packages/daemon/include/umbertrail/daemon/admin_server.h
+++ b/packages/daemon/include/umbertrail/daemon/admin_server.h
@@ -3,33 +3,23 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
-#include <vector>
 
 #include "umbertrail/base.h"
+#include "umbertrail/daemon/admin_pages.h"
 
 namespace umbertrail::daemon {
 
-// One GET of the admin interface. The body is asked for on each call; nothing
-// answers 503.
-struct AdminPage {
-  std::string path;
-  std::string content_type;
-  // `query` is the part of the URL after the path, undecoded names and values
-  // split; only the first value of `id` is passed.
-  std::function<std::optional<std::string>(const std::string& id)> body;
-};
-
-// The HTTP interface for operators and for the platform's health checks, apart
-// from callers' so that it answers when all of their threads are busy:
-// `GET /healthz` answers 200 while the process is alive, `GET /readyz` 200 or
-// 503, and the pages given. It has no authentication and changes nothing.
+// The HTTP listener for operators and for the platform's health checks, apart
+// from callers' so that it answers when all of their threads are busy. It has
+// no authentication. GET /healthz and /readyz are other names of /health and
+// /ready.
 class AdminServer {
  public:
-  AdminServer(std::string address,
-              std::function<bool()> ready,
-              std::vector<AdminPage> pages);
+  using Handler = std::function<AdminAnswer(const AdminRequest&)>;
+
+  // `handler` is called on the listener's threads.
+  AdminServer(std::string address, Handler handler);
   // Stops the server.
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
--- a/packages/daemon/include/umbertrail/daemon/caller_server.h
+++ b/packages/daemon/include/umbertrail/daemon/caller_server.h
@@ -10,20 +10,11 @@
 #include "umbertrail/base.h"
 #include "umbertrail/core/events.h"
 #include "umbertrail/daemon/filters.h"
+#include "umbertrail/daemon/ports.h"
 #include "umbertrail/daemon/request_table.h"
 
 namespace umbertrail::daemon {
 
-// Where the caller server puts events. Thread-safe.
-class EventPort {
- public:
-  virtual ~EventPort() = default;
-  // A new request; false when it can't be taken now.
-  virtual bool Offer(core::Event event) = 0;
-  // Anything else; may wait.
-  virtual void Post(core::Event event) = 0;
-};
-
 // Told of callers' trace contexts before their requests arrive. Thread-safe.
 class CallerObserver {
  public:
--- a/packages/daemon/include/umbertrail/daemon/ports.h
+++ b/packages/daemon/include/umbertrail/daemon/ports.h
@@ -45,6 +45,17 @@
   virtual void Issue(const core::TicketIssued& action) = 0;
 };
 
+// Where events for the node go in. Thread-safe.
+class EventPort {
+ public:
+  virtual ~EventPort() = default;
+  // A caller's request; false, at once, when it can't be taken now.
+  virtual bool Offer(core::Event event) = 0;
+  // Anything else; waits while there is no room, which is the back-pressure on
+  // peers and targets.
+  virtual void Post(core::Event event) = 0;
+};
+
 // Where the loop's actions go. None is null, and all outlive the loop.
 struct LoopPorts {
   TargetPort* target = nullptr;
--- a/packages/daemon/src/admin_server.cc
+++ b/packages/daemon/src/admin_server.cc
@@ -11,7 +11,9 @@
 constexpr size_t kConnections = 8;
 constexpr size_t kMaxBody = 1024;
 constexpr absl::Duration kTimeout = absl::Seconds(5);
-constexpr char kText[] = "text/plain";
+// Longer paths name nothing, and would make the path's matching expensive.
+constexpr size_t kMaxPath = 256;
+constexpr char kAnyPath[] = "/.*";
 
 detail::HttpServerOptions OptionsFor(std::string address) {
   detail::HttpServerOptions options;
@@ -24,61 +26,58 @@
   return options;
 }
 
-void Unavailable(const std::string& text, httplib::Response* res) {
-  res->status = 503;
-  res->set_content(text, kText);
+std::string PageOf(const std::string& path) {
+  if (path == "/healthz") {
+    return "/health";
+  }
+  return path == "/readyz" ? "/ready" : path;
+}
+
+httplib::Server::HandlerResponse RefuseLongPaths(const httplib::Request& req,
+                                                 httplib::Response& res) {
+  if (req.path.size() <= kMaxPath) {
+    return httplib::Server::HandlerResponse::Unhandled;
+  }
+  detail::HttpServer::CloseAfterAnswer();
+  res.status = 404;
+  return httplib::Server::HandlerResponse::Handled;
 }
 
 }  // namespace
 
 class AdminServer::Impl {
  public:
-  Impl(std::string address,
-       std::function<bool()> ready,
-       std::vector<AdminPage> pages)
-      : ready_(std::move(ready)),
-        pages_(std::move(pages)),
+  Impl(std::string address, Handler handler)
+      : handler_(std::move(handler)),
         server_(OptionsFor(std::move(address)), nullptr) {
+    const auto serve = [this](const httplib::Request& req,
+                              httplib::Response& res) { Serve(req, &res); };
     server_.set_payload_max_length(kMaxBody);
-    server_.Get("/healthz",
-                [](const httplib::Request&, httplib::Response& res) {
-                  res.set_content("alive\n", kText);
-                });
-    server_.Get("/readyz",
-                [this](const httplib::Request&, httplib::Response& res) {
-                  if (ready_()) {
-                    res.set_content("ready\n", kText);
-                  } else {
-                    Unavailable("not ready\n", &res);
-                  }
-                });
-    for (const AdminPage& page : pages_) {
-      server_.Get(page.path,
-                  [&page](const httplib::Request& req, httplib::Response& res) {
-                    const auto body = page.body(req.get_param_value("id"));
-                    if (body.has_value()) {
-                      res.set_content(*body, page.content_type);
-                    } else {
-                      Unavailable("no answer from the core\n", &res);
-                    }
-                  });
-    }
+    server_.set_pre_routing_handler(RefuseLongPaths);
+    server_.Get(kAnyPath, serve);
+    server_.Post(kAnyPath, serve);
   }
 
   detail::HttpServer& server() { return server_; }
 
  private:
-  const std::function<bool()> ready_;
-  const std::vector<AdminPage> pages_;
+  void Serve(const httplib::Request& req, httplib::Response* res) const {
+    AdminRequest request;
+    request.method = req.method;
+    request.path = PageOf(req.path);
+    request.id = req.get_param_value("id");
+    request.level = req.get_param_value("level");
+    const AdminAnswer answer = handler_(request);
+    res->status = answer.status;
+    res->set_content(answer.body, answer.content_type);
+  }
+
+  const Handler handler_;
   detail::HttpServer server_;
 };
 
-AdminServer::AdminServer(std::string address,
-                         std::function<bool()> ready,
-                         std::vector<AdminPage> pages)
-    : impl_(std::make_unique<Impl>(std::move(address),
-                                   std::move(ready),
-                                   std::move(pages))) {}
+AdminServer::AdminServer(std::string address, Handler handler)
+    : impl_(std::make_unique<Impl>(std::move(address), std::move(handler))) {}
 
 AdminServer::~AdminServer() {
   Stop();
