Daemon: the program umbertraild

A tried run against an absent configuration service: not ready, callers refused as not run, SIGHUP reloads, SIGTERM ends with code 0; a faulty settings file lists each fault and ends with code 2.

--- /dev/null
+++ b/packages/daemon/src/main.cc
@@ -0,0 +1,162 @@
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <ctime>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <docopt/docopt.h>
+
+#include "absl/strings/str_join.h"
+#include "umbertrail/daemon/daemon.h"
+
+// The daemon's command line, signals and exit codes.
+
+namespace {
+
+using umbertrail::daemon::Daemon;
+using umbertrail::daemon::SettingFault;
+using umbertrail::daemon::Settings;
+
+constexpr char kUsage[] =
+    R"(umbertraild: one entry instance of umbertrail.
+
+Usage:
+  umbertraild --settings=FILE [--check]
+  umbertraild --help
+  umbertraild --version
+
+Options:
+  --settings=FILE  Settings in YAML.
+  --check          Check the settings and the files that they name, then exit.
+  --help           Show this text.
+  --version        Show the version.
+
+Exit codes: 0 after a graceful stop or a check without fault, 1 when a listener
+could not be opened, 2 when the settings have a fault, 3 when a second signal
+cut the graceful stop short.
+
+Signals: SIGTERM and SIGINT stop gracefully, SIGHUP reads the settings again.
+)";
+
+constexpr int kExitListener = 1;
+constexpr int kExitSettings = 2;
+constexpr int kExitCutShort = 3;
+// How long one wait for a signal lasts, in nanoseconds.
+constexpr long kSignalWaitNanos = 100 * 1000 * 1000;
+
+int ReportFaults(const std::vector<SettingFault>& faults) {
+  for (const SettingFault& fault : faults) {
+    std::fprintf(stderr, "%s\n", umbertrail::daemon::Describe(fault).c_str());
+  }
+  return kExitSettings;
+}
+
+// Blocks the signals in this thread and all that it starts; they are waited
+// for instead. A closed connection must not end the process.
+sigset_t BlockSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+// The next signal, or 0 when none came for a while.
+int AwaitSignal(const sigset_t& signals) {
+  const timespec wait{0, kSignalWaitNanos};
+  const int signal = sigtimedwait(&signals, nullptr, &wait);
+  return signal > 0 ? signal : 0;
+}
+
+void Reload(const std::string& path, Daemon* daemon) {
+  const auto loaded = umbertrail::daemon::LoadSettings(path);
+  if (const auto* faults = std::get_if<std::vector<SettingFault>>(&loaded)) {
+    std::fprintf(stderr, "reload refused, the former settings stay:\n");
+    ReportFaults(*faults);
+    return;
+  }
+  const auto result = daemon->ReloadSettings(std::get<Settings>(loaded));
+  if (!umbertrail::IsOk(result)) {
+    std::fprintf(stderr, "peer keys not reloaded: %s\n",
+                 umbertrail::ErrorOf(result).message.c_str());
+    return;
+  }
+  const auto& reload = umbertrail::ValueOf(result);
+  std::fprintf(stderr, "reloaded: peer keys %s\n",
+               absl::StrJoin(reload.applied, " ").c_str());
+  if (!reload.need_restart.empty()) {
+    std::fprintf(stderr, "need a restart: %s\n",
+                 absl::StrJoin(reload.need_restart, " ").c_str());
+  }
+}
+
+// Serves until a signal asks to stop.
+void ServeUntilStopped(const sigset_t& signals,
+                       const std::string& path,
+                       Daemon* daemon) {
+  while (true) {
+    const int signal = AwaitSignal(signals);
+    if (signal == SIGHUP) {
+      Reload(path, daemon);
+    } else if (signal != 0) {
+      return;
+    }
+  }
+}
+
+// False when a second signal came first.
+bool StopGracefully(const sigset_t& signals, Daemon* daemon) {
+  daemon->RequestStop();
+  while (!daemon->AwaitStopComplete(absl::ZeroDuration())) {
+    const int signal = AwaitSignal(signals);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return false;
+    }
+  }
+  daemon->Stop();
+  return true;
+}
+
+int Run(Settings settings, const std::string& path) {
+  const sigset_t signals = BlockSignals();
+  Daemon daemon(std::move(settings));
+  const auto started = daemon.Start();
+  if (!umbertrail::IsOk(started)) {
+    std::fprintf(stderr, "%s\n", umbertrail::ErrorOf(started).message.c_str());
+    return kExitListener;
+  }
+  ServeUntilStopped(signals, path, &daemon);
+  if (!StopGracefully(signals, &daemon)) {
+    std::_Exit(kExitCutShort);
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::map<std::string, docopt::value> args = docopt::docopt(
+      kUsage, {argv + 1, argv + argc}, /*help=*/true, UMBERTRAIL_VERSION);
+  const std::string path = args.at("--settings").asString();
+  auto loaded = umbertrail::daemon::LoadSettings(path);
+  if (const auto* faults = std::get_if<std::vector<SettingFault>>(&loaded)) {
+    return ReportFaults(*faults);
+  }
+  auto& settings = std::get<Settings>(loaded);
+  const auto faults = umbertrail::daemon::CheckFiles(settings, path);
+  if (!faults.empty()) {
+    return ReportFaults(faults);
+  }
+  if (args.at("--check").asBool()) {
+    std::printf("%s: no fault\n", path.c_str());
+    return 0;
+  }
+  return Run(std::move(settings), path);
+}
