--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -178,7 +178,7 @@
 
 [ -x "$build/bin/umbertraild" ] || fail "$build/bin/umbertraild is not built"
 mkdir "$work/published"
-head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$work/peer.key"
+{ printf "k1 "; head -c 32 /dev/urandom | od -An -tx1 | tr -d " \n"; } >"$work/peer.key"
 chmod 600 "$work/peer.key"
 
 echo "-- starting stand-ins"
