--- a/tools/standins/service_main.cc
+++ b/tools/standins/service_main.cc
@@ -61,7 +61,7 @@
     }
     --running_;
     Answer(response,
-           {{"call", std::string(request.matches[1])},
+           {{"call", request.matches[1].str()},
             {"run", run},
             {"body_hash", absl::StrCat(absl::Hex(StableHash(request.body)))}});
   }
@@ -120,6 +120,7 @@
 };
 
 int Run(const Arguments& arguments) {
+  BlockStopSignals();
   Service service(arguments.Text("--name"), arguments.Millis("--delay"));
   httplib::Server server;
   Configure(server);
