Peer codec: a whole weight such as 1.0 can be read back

The library writes a whole double as an integer, and the reader took floats alone: every request for admission with the default weight of 1.0 was refused as corrupt, which closes its link. Found by the message measurement, which decodes what it encodes; none of the random messages drew a whole weight.

The reader takes both forms.

--- a/packages/cli/src/explain_command.cc
+++ b/packages/cli/src/explain_command.cc
@@ -32,12 +32,11 @@
 std::string DetailsOf(const Json& step) {
   std::string out;
   for (const auto& [key, value] : step.items()) {
-    if (key == "after_ms" || key == "step" || value == "") {
-      continue;
-    }
     const std::string text =
         value.is_string() ? value.get<std::string>() : value.dump();
-    absl::StrAppend(&out, "  ", key, "=", text);
+    if (key != "after_ms" && key != "step" && !text.empty()) {
+      absl::StrAppend(&out, "  ", key, "=", text);
+    }
   }
   return out;
 }
--- a/packages/cli/src/svg_plot.cc
+++ b/packages/cli/src/svg_plot.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -35,8 +37,8 @@
 };
 
 Axis AxisOf(const std::vector<Curve>& curves) {
-  double low = INFINITY;
-  double high = -INFINITY;
+  double low = std::numeric_limits<double>::infinity();
+  double high = -std::numeric_limits<double>::infinity();
   for (const Curve& curve : curves) {
     for (const double it : curve.values) {
       if (it > 0) {
--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -127,6 +127,15 @@
     return true;
   }
   static bool Value(const msgpack::object& in, double* out) {
+    // The library writes a whole number, such as 1.0, as an integer.
+    if (in.type == msgpack::type::POSITIVE_INTEGER) {
+      *out = static_cast<double>(in.via.u64);
+      return true;
+    }
+    if (in.type == msgpack::type::NEGATIVE_INTEGER) {
+      *out = static_cast<double>(in.via.i64);
+      return true;
+    }
     if (in.type != msgpack::type::FLOAT64 || !std::isfinite(in.via.f64)) {
       return false;
     }
--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -92,6 +92,18 @@
   CHECK_FALSE(IsOk(DecodeEnvelope("\xdd\xff\xff\xff\xff")));
 }
 
+TEST_CASE("a weight survives, whole or not") {
+  const double weight = GENERATE(0.0, 1.0, 2.0, 0.25, -3.0);
+  core::PeerEnvelope envelope;
+  core::AdmitRequest admit;
+  admit.weight = weight;
+  envelope.payload = admit;
+  const auto decoded = DecodeEnvelope(ValueOf(EncodeEnvelope(envelope)));
+  REQUIRE(IsOk(decoded));
+  const auto& payload = ValueOf(decoded).payload;
+  CHECK(std::get<core::AdmitRequest>(payload).weight == weight);
+}
+
 TEST_CASE("a weight that is not finite is refused") {
   core::PeerEnvelope envelope;
   core::AdmitRequest admit;
