Peer codec: a whole-number weight survives its way

Cause: the msgpack packer writes a double with a whole value as an integer, and the reader took floats alone, so that every AdmitRequest of an account with weight 1 or 4 was a malformed frame and dropped its link. Change: the reader takes integers for a double; a test with whole weights, which failed before (the random messages carry fractions). Conclusion: the test passes.

--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -127,11 +127,20 @@
     return true;
   }
   static bool Value(const msgpack::object& in, double* out) {
-    if (in.type != msgpack::type::FLOAT64 || !std::isfinite(in.via.f64)) {
-      return false;
+    // The library's packer writes a whole number as an integer.
+    switch (in.type) {
+      case msgpack::type::POSITIVE_INTEGER:
+        *out = static_cast<double>(in.via.u64);
+        return true;
+      case msgpack::type::NEGATIVE_INTEGER:
+        *out = static_cast<double>(in.via.i64);
+        return true;
+      case msgpack::type::FLOAT64:
+        *out = in.via.f64;
+        return std::isfinite(in.via.f64);
+      default:
+        return false;
     }
-    *out = in.via.f64;
-    return true;
   }
   static bool Value(const msgpack::object& in, std::string* out) {
     if (in.type != msgpack::type::STR) {
--- a/tests/peer/codec_test.cc
+++ b/tests/peer/codec_test.cc
@@ -92,6 +92,21 @@
   CHECK_FALSE(IsOk(DecodeEnvelope("\xdd\xff\xff\xff\xff")));
 }
 
+TEST_CASE("a weight that is a whole number survives") {
+  for (const double weight : {0.0, 1.0, 4.0, -2.0, 1e300}) {
+    core::PeerEnvelope envelope;
+    core::AdmitRequest admit;
+    admit.weight = weight;
+    envelope.payload = admit;
+    const auto encoded = EncodeEnvelope(envelope);
+    REQUIRE(IsOk(encoded));
+    const auto decoded = DecodeEnvelope(ValueOf(encoded));
+    REQUIRE(IsOk(decoded));
+    const auto& payload = ValueOf(decoded).payload;
+    CHECK(std::get<core::AdmitRequest>(payload).weight == weight);
+  }
+}
+
 TEST_CASE("a weight that is not finite is refused") {
   core::PeerEnvelope envelope;
   core::AdmitRequest admit;
