--- a/tests/core/owner_rates_test.cc
+++ b/tests/core/owner_rates_test.cc
@@ -21,8 +21,8 @@
   auto random = MakeSeededRandom(3);
   for (int i = 0; i < 300; ++i) {
     const int64_t prompt = i % 50 == 0 ? 400000 : 1000;
-    rates.Learn(SampleAt(
-        4000.0, prompt + static_cast<int64_t>(random->Below(3000))));
+    rates.Learn(
+        SampleAt(4000.0, prompt + static_cast<int64_t>(random->Below(3000))));
   }
   const double at_short = absl::ToDoubleSeconds(rates.FirstToken(Tokens(2000)));
   const double at_long =
@@ -46,7 +46,8 @@
 }
 
 TEST_CASE("a first token is far over only by factor and by time") {
-  CHECK_FALSE(RatePredictor::FarOver(absl::Milliseconds(100), absl::Seconds(1)));
+  CHECK_FALSE(
+      RatePredictor::FarOver(absl::Milliseconds(100), absl::Seconds(1)));
   CHECK_FALSE(RatePredictor::FarOver(absl::Seconds(10), absl::Seconds(30)));
   CHECK(RatePredictor::FarOver(absl::Milliseconds(500), absl::Seconds(3)));
 }
--- a/tests/core/owner_table_test.cc
+++ b/tests/core/owner_table_test.cc
@@ -53,8 +53,7 @@
   OwnerBench bench;
   bench.Open(TargetState::kWarm);
   bench.Admit("a", 50000);
-  bench.table->OnUnreachable(bench.now, {TargetId("e1"), true},
-                             &bench.actions);
+  bench.table->OnUnreachable(bench.now, {TargetId("e1"), true}, &bench.actions);
   CHECK(bench.Admit("b", 1000).reason == Reason::kNoTarget);
   bench.Pass(absl::Seconds(1));
   bench.Report(TargetState::kCold, "b2");
--- a/tools/demo/tally.cc
+++ b/tools/demo/tally.cc
@@ -10,14 +10,31 @@
   return absl::ToDoubleMilliseconds(duration);
 }
 
-void PrintReasons(const char* name,
+void PrintReasons(const char* what,
                   const std::map<std::string, int64_t>& reasons) {
   for (const auto& it : reasons) {
-    std::printf("    %s refused, %s: %lld\n", name, it.first.c_str(),
+    std::printf("    %s: %s: %lld\n", what, it.first.c_str(),
                 static_cast<long long>(it.second));
   }
 }
 
+std::string ReasonOf(const TryResult& result) {
+  switch (result.end) {
+    case TryEnd::kRefused:
+      return result.reason + ", ran: " + result.ran;
+    case TryEnd::kNoAnswer:
+      return "no connection";
+    case TryEnd::kCut:
+      return result.first_token == absl::ZeroDuration()
+                 ? "connection closed before the answer"
+                 : "answer cut";
+    case TryEnd::kComplete:
+    case TryEnd::kWrong:
+      break;
+  }
+  return "complete";
+}
+
 long long Wide(int64_t n) {
   return n;
 }
@@ -33,13 +50,10 @@
   return samples[static_cast<size_t>(last * share)];
 }
 
-void Tally::AddRequest(const std::string& name,
-                       const TryResult& last,
-                       int64_t retries) {
+void Tally::AddRequest(const std::string& name, const TryResult& last) {
   absl::MutexLock lock(&mutex_);
   ClassTally& tally = classes_[name];
   ++tally.sent;
-  tally.retries += retries;
   switch (last.end) {
     case TryEnd::kComplete:
       ++tally.complete;
@@ -47,12 +61,13 @@
       break;
     case TryEnd::kRefused:
       ++tally.refused;
-      ++tally.reasons[last.reason + ", ran: " + last.ran];
+      ++tally.reasons[ReasonOf(last)];
       break;
     case TryEnd::kNoAnswer:
       ++tally.lost;
       break;
     case TryEnd::kCut:
+      ++tally.cut;
       break;
     case TryEnd::kWrong:
       ++tally.wrong;
@@ -60,9 +75,12 @@
   }
 }
 
-void Tally::NoteCut(const std::string& name) {
+void Tally::AddRetry(const std::string& name, const TryResult& failed) {
   absl::MutexLock lock(&mutex_);
-  ++classes_[name].cut;
+  ClassTally& tally = classes_[name];
+  ++tally.retries;
+  ++tally.retry_reasons[ReasonOf(failed)];
+  tally.cut += failed.end == TryEnd::kCut ? 1 : 0;
 }
 
 void Tally::AddFilings(const FilingTally& filings) {
@@ -94,7 +112,8 @@
                 Millis(Quantile(tally.first_tokens, 0.5)),
                 Millis(Quantile(tally.first_tokens, 0.95)),
                 Millis(Quantile(tally.first_tokens, 0.99)));
-    PrintReasons(it.first.c_str(), tally.reasons);
+    PrintReasons("refused", tally.reasons);
+    PrintReasons("sent again", tally.retry_reasons);
   }
   std::printf(
       "filings: sent %lld, complete %lld, not run %lld, in doubt %lld, "
@@ -102,7 +121,7 @@
       Wide(filings_.sent), Wide(filings_.complete), Wide(filings_.not_run),
       Wide(filings_.in_doubt), Wide(filings_.resent), Wide(filings_.changed),
       Wide(filings_.lost));
-  PrintReasons("filings", filings_.reasons);
+  PrintReasons("refused", filings_.reasons);
 }
 
 bool Tally::HasFault() const {
--- a/tools/demo/tally.h
+++ b/tools/demo/tally.h
@@ -26,6 +26,8 @@
   // No answer at all, however often it was sent again.
   int64_t lost = 0;
   std::vector<absl::Duration> first_tokens;
+  // Why tries ended that were not the last, and why requests were refused.
+  std::map<std::string, int64_t> retry_reasons;
   std::map<std::string, int64_t> reasons;
 };
 
@@ -47,10 +49,9 @@
 class Tally {
  public:
   // `name` orders the rows of the table.
-  void AddRequest(const std::string& name,
-                  const TryResult& last,
-                  int64_t retries);
-  void NoteCut(const std::string& name);
+  void AddRequest(const std::string& name, const TryResult& last);
+  // Notes a try after which the request is sent again.
+  void AddRetry(const std::string& name, const TryResult& failed);
   void AddFilings(const FilingTally& filings);
 
   // Prints the table.
--- a/tools/demo/workload.cc
+++ b/tools/demo/workload.cc
@@ -86,21 +86,18 @@
       plan.shortest + static_cast<int64_t>(choose.random().Below(spread));
   const Prompt prompt = MakePrompt(choose.random(), tokens, plan.max_tokens);
   const Account& account = choose.AnyAccount();
-  TryResult result;
-  int tries = 0;
-  while (tries < kMaxTries) {
-    ++tries;
-    result = Complete(choose.Entry(), account, settings.model, prompt,
-                      plan.time_limit);
-    if (result.end == TryEnd::kComplete || result.end == TryEnd::kWrong) {
-      break;
-    }
-    if (result.end == TryEnd::kCut) {
-      tally.NoteCut(plan.name);
+  for (int n = 1;; ++n) {
+    const TryResult result = Complete(choose.Entry(), account, settings.model,
+                                      prompt, plan.time_limit);
+    const bool answered =
+        result.end == TryEnd::kComplete || result.end == TryEnd::kWrong;
+    if (answered || n == kMaxTries) {
+      tally.AddRequest(plan.name, result);
+      return;
     }
+    tally.AddRetry(plan.name, result);
     absl::SleepFor(kRetryPause);
   }
-  tally.AddRequest(plan.name, result, tries - 1);
 }
 
 // Sends a filing again with the same ticket through another entry.
