--- a/packages/peer/src/codec.cc
+++ b/packages/peer/src/codec.cc
@@ -127,20 +127,20 @@
     return true;
   }
   static bool Value(const msgpack::object& in, double* out) {
-    // The library's packer writes a whole number as an integer.
-    switch (in.type) {
-      case msgpack::type::POSITIVE_INTEGER:
-        *out = static_cast<double>(in.via.u64);
-        return true;
-      case msgpack::type::NEGATIVE_INTEGER:
-        *out = static_cast<double>(in.via.i64);
-        return true;
-      case msgpack::type::FLOAT64:
-        *out = in.via.f64;
-        return std::isfinite(in.via.f64);
-      default:
-        return false;
+    // The library writes a whole number, such as 1.0, as an integer.
+    if (in.type == msgpack::type::POSITIVE_INTEGER) {
+      *out = static_cast<double>(in.via.u64);
+      return true;
+    }
+    if (in.type == msgpack::type::NEGATIVE_INTEGER) {
+      *out = static_cast<double>(in.via.i64);
+      return true;
+    }
+    if (in.type != msgpack::type::FLOAT64 || !std::isfinite(in.via.f64)) {
+      return false;
     }
+    *out = in.via.f64;
+    return true;
   }
   static bool Value(const msgpack::object& in, std::string* out) {
     if (in.type != msgpack::type::STR) {
