--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -6,14 +6,14 @@
 # was lost, doubled or cut.
 #
 # Usage: tools/demo.sh [BUILD]
-#   UMBERTRAIL_DEMO_PORT     first of ten ports of the instances (18500)
+#   UMBERTRAIL_DEMO_PORT     first of nine ports of the instances (free ones)
 #   UMBERTRAIL_DEMO_SECONDS  how long callers send (30, at least 24)
 #   UMBERTRAIL_DEMO_KEEP     a directory to keep logs and settings in
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 build=${1:-build}
-port=${UMBERTRAIL_DEMO_PORT:-18500}
+port=${UMBERTRAIL_DEMO_PORT:-}
 seconds=${UMBERTRAIL_DEMO_SECONDS:-30}
 run_for=150  # every stand-in ends by itself after this many seconds
 data_centres=(south-a south-b south-c)
@@ -53,6 +53,21 @@
   exit 1
 }
 
+# Sets `port` to the first of nine ports on which nobody listens.
+choose_ports() {
+  for _ in $(seq 50); do
+    port=$((12000 + RANDOM % 1800 * 10))
+    local free=true
+    for n in $(seq 0 8); do
+      if (: <"/dev/tcp/127.0.0.1/$((port + n))") 2>/dev/null; then
+        free=false
+      fi
+    done
+    [ "$free" = true ] && return
+  done
+  fail "no free ports"
+}
+
 # Starts a stand-in and sets `address` to where it listens.
 start_standin() {
   local name=$1
@@ -155,8 +170,8 @@
 # Waits until instance $1 says that callers may be sent to it.
 await_ready() {
   for _ in $(seq 150); do
-    curl -sf -o /dev/null "http://127.0.0.1:$((port + 6 + $1))/ready" && return
     kill -0 "${instance_pids[$1]}" 2>/dev/null || fail "instance $1 ended"
+    curl -sf -o /dev/null "http://127.0.0.1:$((port + 6 + $1))/ready" && return
     sleep 0.1
   done
   fail "instance $1 is not ready"
@@ -177,6 +192,7 @@
 }
 
 [ -x "$build/bin/umbertraild" ] || fail "$build/bin/umbertraild is not built"
+[ -n "$port" ] || choose_ports
 mkdir "$work/published"
 { printf "k1 "; head -c 32 /dev/urandom | od -An -tx1 | tr -d " \n"; } >"$work/peer.key"
 chmod 600 "$work/peer.key"
