--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 SEEDS ?= 10000
 soak: build
 	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
+
+measure: build
+	@$(BUILD)/tools/measure_routing
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -20,6 +20,8 @@
 class ScreenHome {
  public:
   static constexpr uint32_t kDeathLimit = 2;
+  // Deaths are told again for as long as this, so an older home knows them.
+  static constexpr absl::Duration kYoung = absl::Seconds(30);
   // A caller that sends the same content again does so within minutes.
   static constexpr absl::Duration kMemory = absl::Minutes(30);
   // At 200 bytes an entry this stays far under a node's memory limit.
@@ -35,6 +37,7 @@
   ScreenReply OnRequest(absl::Time now,
                         const InstanceRef& from,
                         const ScreenRequest& request);
+  // A death is counted once however often it is told.
   void OnEnded(absl::Time now,
                const InstanceRef& from,
                const ScreenEnded& ended);
@@ -44,6 +47,9 @@
   // Forgets what is older than kMemory. Cost: linear, at most once a minute.
   void OnTick(absl::Time now);
 
+  // Deaths known here.
+  uint32_t DeathsOf(Fingerprint fingerprint) const;
+
   std::vector<QuarantineStatus> Status() const;
 
  private:
@@ -53,8 +59,14 @@
     AttemptNumber attempt;
     absl::Time expires;
   };
+  struct Death {
+    InstanceRef holder;
+    RequestId request;
+    AttemptNumber attempt;
+  };
   struct Entry {
-    uint32_t deaths = 0;
+    // At most kDeathLimit of them.
+    std::vector<Death> deaths;
     bool proven = false;
     absl::Time touched;
     std::vector<Run> runs;
@@ -63,12 +75,15 @@
   // How many open runs and deaths it allows in sum.
   uint32_t LimitFor(Fingerprint fingerprint) const;
   ScreenVerdict Judge(const Entry& entry, uint32_t limit) const;
+  static void CountDeath(Death death, Entry* entry);
   void DropExpiredRuns(absl::Time now, Entry* entry) const;
 
   InstanceId self_;
   const FleetView* fleet_;
   const Mutations* mutations_;
   std::map<Fingerprint, Entry> entries_;
+  // When it was first asked or told of anything, which is soon after its start.
+  absl::Time born_ = absl::InfiniteFuture();
   absl::Time swept_ = absl::InfinitePast();
 };
 
