--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 SEEDS ?= 10000
 soak: build
 	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
+
+capacity: build
+	@tools/capacity/run.sh $(BUILD)
--- /dev/null
+++ b/tools/capacity/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Measures the slopes of docs/CAPACITY.md, one program after the other.
+set -euo pipefail
+build=${1:-build}
+for program in message telemetry connection node fleet; do
+  binary="$build/tools/${program}_capacity"
+  [ -x "$binary" ] || continue
+  echo "== $program"
+  timeout 300 "$binary"
+done
