Core: the fleet's and the orders' timers run when they are due

Node::Handle ran them at each event, and both walk all targets, so an event's cost grew with the fleet. Fleet::NextWakeup() passes before a pause can be missed: an event after a pause finds its time over and runs it first.

--- a/packages/core/src/node.cc
+++ b/packages/core/src/node.cc
@@ -64,11 +64,16 @@
 }
 
 void Node::Impl::TickParts(absl::Time now, Actions* actions) {
-  fleet_.OnTick(now, actions);
+  // Both walk the whole fleet, so they run at their times, not at each event.
+  if (now >= fleet_.NextWakeup()) {
+    fleet_.OnTick(now, actions);
+  }
   TellFleetChange(now, actions);
   flow_.OnTick(now, actions);
   owners_.OnTick(now, actions);
-  orders_.OnTick(now, actions);
+  if (now >= orders_.NextWakeup()) {
+    orders_.OnTick(now, actions);
+  }
   if (now < next_sweep_) {
     return;
   }
