--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 capacity: build
 	@tools/capacity/run.sh $(BUILD)
+
+measure: build
+	@$(BUILD)/tools/measure_routing
