--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 
 measure: build
 	@$(BUILD)/tools/measure_routing
+
+SEEDS ?= 10000
+soak: build
+	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
