Owner: prompts count as pending until their first token is heard of

Change: the receiving instance tells the owner at the first token; the owner counts prompts as pending until then and lets the next start. Decoding beside a long prefill is predicted apart.

--- a/packages/core/include/umbertrail/core/owner/ledger.h
+++ b/packages/core/include/umbertrail/core/owner/ledger.h
@@ -59,6 +59,8 @@
   absl::Time heard_at;
   // Latest moment at which it may still end well.
   absl::Time deadline;
+  // A long prompt was being computed when it was granted.
+  bool beside_long = false;
   // A target died while running this content.
   bool suspect = false;
   // A suspension was asked for.
@@ -112,10 +114,13 @@
   Tokens charged() const { return charged_; }
   Tokens charged(LengthClass length) const;
   int running() const { return static_cast<int>(charges_.size()); }
-  // Prefills under way in a class, by prediction and by what was heard.
-  int Prefilling(absl::Time now, LengthClass length) const;
-  // Prompt tokens still to compute, in classes up to `length`.
-  Tokens PendingPrefill(absl::Time now, LengthClass length) const;
+  // Prefills under way in a class: no first token was heard of yet.
+  int Prefilling(LengthClass length) const;
+  // Prompt tokens still to compute, in classes up to `length`, if the target
+  // takes `per_token` for each since the last first token.
+  Tokens PendingPrefill(absl::Time now,
+                        LengthClass length,
+                        absl::Duration per_token) const;
 
   bool empty() const { return charges_.empty(); }
   const std::map<AttemptKey, Charge>& charges() const { return charges_; }
@@ -135,6 +140,9 @@
   ChargeMap charges_;
   Tokens charged_;
   std::array<Tokens, 3> charged_by_class_;
+  // When a prefill of each class was last heard to be over.
+  std::array<absl::Time, 3> progress_at_ = {
+      absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
   // Charges settled recently, which lagging reports still show; oldest first.
   std::deque<Ended> ended_;
 };
--- a/packages/core/include/umbertrail/core/owner/rate_predictor.h
+++ b/packages/core/include/umbertrail/core/owner/rate_predictor.h
@@ -49,6 +49,8 @@
   Tokens prefill;
   // Attempts running beside it, itself included.
   int batch = 1;
+  // Whether a long prompt was being computed beside it.
+  bool beside_long = false;
   absl::Duration first_token;
   absl::Duration total;
   Tokens generated;
@@ -69,8 +71,9 @@
   // Time that the engine spends on `prefill` tokens alone.
   absl::Duration Prefill(Tokens prefill) const;
 
-  // Time to generate `output` tokens in a batch of `batch` attempts.
-  absl::Duration Decode(Tokens output, int batch) const;
+  // Time to generate `output` tokens in a batch of `batch` attempts, while a
+  // long prompt is computed beside them or not.
+  absl::Duration Decode(Tokens output, int batch, bool beside_long) const;
 
   // Learns from a finished attempt. A sample without a first token is ignored.
   void Learn(const RateSample& sample);
@@ -82,6 +85,7 @@
  private:
   detail::FadingLineFit prefill_;
   detail::FadingLineFit interval_;
+  detail::FadingLineFit interval_beside_long_;
   // Natural logarithm of seen over fitted first-token time, fading.
   double log_correction_ = 0;
 };
--- a/packages/core/include/umbertrail/core/owner/target_owner.h
+++ b/packages/core/include/umbertrail/core/owner/target_owner.h
@@ -155,6 +155,7 @@
   void RefreshLimits();
 
   Tokens Allowed() const;
+  Tokens PendingPrefill(absl::Time now, LengthClass length) const;
   TargetRoom RoomAt(absl::Time now) const;
   bool IsService() const;
   LengthClass ClassOfPrompt(Tokens prompt) const;
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -247,6 +247,10 @@
               Actions* actions);
   void ReleaseScreen(ActiveRequest* r, ScreenEnd end, Actions* actions);
   void WakeOne(absl::Time now, ActiveRequest* r, Actions* actions);
+  // Tells the owners that the prompt is computed, so that the next may start.
+  static void TellFirstToken(const ActiveRequest& r,
+                             Tokens generated,
+                             Actions* actions);
   void SendHeartbeats(absl::Time now, Actions* actions);
 
   FlowConfig config_;
--- a/packages/core/src/owner/ledger.cc
+++ b/packages/core/src/owner/ledger.cc
@@ -8,6 +8,9 @@
 namespace umbertrail::core {
 namespace {
 
+// Part of the prompts that is taken to be pending until a first token is heard
+// of, however long that takes.
+constexpr double kLeastPending = 0.1;
 // Settled charges are remembered this long: no report is older.
 constexpr absl::Duration kLongestReportAge = absl::Seconds(30);
 // And at most this many of them.
@@ -17,9 +20,8 @@
   return static_cast<size_t>(length);
 }
 
-bool Prefilling(absl::Time now, const Charge& charge) {
-  return !charge.decoding && charge.state != ChargeState::kSilent &&
-         now < charge.first_token_at;
+bool IsPrefilling(const Charge& charge) {
+  return !charge.decoding && charge.state != ChargeState::kSilent;
 }
 
 }  // namespace
@@ -50,6 +52,9 @@
     return;
   }
   const Charge& charge = it->second;
+  if (!charge.decoding) {
+    progress_at_[IndexOf(charge.length)] = now;
+  }
   ended_.push_back({key.request, charge.granted_at, now, charge.tokens});
   while (ended_.size() > kMaxEnded ||
          ended_.front().ended_at < now - kLongestReportAge) {
@@ -72,7 +77,10 @@
   }
   charge->heard_at = now;
   charge->state = ChargeState::kRunning;
-  charge->decoding = charge->decoding || generated > Tokens(0);
+  if (generated > Tokens(0) && !charge->decoding) {
+    charge->decoding = true;
+    progress_at_[IndexOf(charge->length)] = now;
+  }
   return true;
 }
 
@@ -166,29 +174,36 @@
   return charged_by_class_[IndexOf(length)];
 }
 
-int Ledger::Prefilling(absl::Time now, LengthClass length) const {
+int Ledger::Prefilling(LengthClass length) const {
   int n = 0;
   for (const auto& [key, charge] : charges_) {
-    if (charge.length == length && core::Prefilling(now, charge)) {
-      ++n;
-    }
+    n += charge.length == length && IsPrefilling(charge) ? 1 : 0;
   }
   return n;
 }
 
-Tokens Ledger::PendingPrefill(absl::Time now, LengthClass length) const {
-  Tokens sum;
+Tokens Ledger::PendingPrefill(absl::Time now,
+                              LengthClass length,
+                              absl::Duration per_token) const {
+  std::array<Tokens, 3> sums;
+  std::array<absl::Time, 3> since = progress_at_;
+  std::array<absl::Time, 3> oldest;
+  oldest.fill(now);
   for (const auto& [key, charge] : charges_) {
-    if (charge.length > length || !core::Prefilling(now, charge)) {
-      continue;
+    if (IsPrefilling(charge)) {
+      const size_t i = IndexOf(charge.length);
+      sums[i] += charge.prefill;
+      oldest[i] = std::min(oldest[i], charge.granted_at);
     }
-    const absl::Duration whole = charge.first_token_at - charge.granted_at;
-    const absl::Duration left = charge.first_token_at - now;
-    const double part = std::min(absl::FDivDuration(left, whole), 1.0);
-    sum += Tokens(static_cast<int64_t>(
-        part * static_cast<double>(charge.prefill.value())));
   }
-  return sum;
+  double pending = 0;
+  for (size_t i = 0; i <= IndexOf(length); ++i) {
+    const auto sum = static_cast<double>(sums[i].value());
+    const absl::Duration worked = now - std::max(since[i], oldest[i]);
+    const double computed = absl::FDivDuration(worked, per_token);
+    pending += std::max(sum - computed, sum * kLeastPending);
+  }
+  return Tokens(static_cast<int64_t>(pending));
 }
 
 Ledger::ChargeMap::iterator Ledger::Erase(ChargeMap::iterator it) {
--- a/packages/core/src/owner/rate_predictor.cc
+++ b/packages/core/src/owner/rate_predictor.cc
@@ -11,6 +11,7 @@
 constexpr double kPriorPrefillSlope = 1.0 / 10000.0;
 constexpr double kTypicalPrefill = 4000.0;
 constexpr double kPriorInterval = 0.015;
+constexpr double kPriorIntervalBesideLong = 0.03;
 constexpr double kPriorIntervalSlope = 0.0003;
 constexpr double kTypicalBatch = 16.0;
 
@@ -83,7 +84,10 @@
 
 RatePredictor::RatePredictor()
     : prefill_(kPriorOverhead, kPriorPrefillSlope, kTypicalPrefill),
-      interval_(kPriorInterval, kPriorIntervalSlope, kTypicalBatch) {}
+      interval_(kPriorInterval, kPriorIntervalSlope, kTypicalBatch),
+      interval_beside_long_(kPriorIntervalBesideLong,
+                            kPriorIntervalSlope,
+                            kTypicalBatch) {}
 
 absl::Duration RatePredictor::FirstToken(Tokens prefill) const {
   const double fitted = prefill_.At(static_cast<double>(prefill.value()));
@@ -94,8 +98,12 @@
   return absl::Seconds(prefill_.slope() * static_cast<double>(prefill.value()));
 }
 
-absl::Duration RatePredictor::Decode(Tokens output, int batch) const {
-  return absl::Seconds(interval_.At(batch)) * output.value();
+absl::Duration RatePredictor::Decode(Tokens output,
+                                     int batch,
+                                     bool beside_long) const {
+  const detail::FadingLineFit& fit =
+      beside_long ? interval_beside_long_ : interval_;
+  return absl::Seconds(fit.At(batch)) * output.value();
 }
 
 void RatePredictor::Learn(const RateSample& sample) {
@@ -116,7 +124,9 @@
   const double decode =
       absl::ToDoubleSeconds(sample.total - sample.first_token);
   const auto steps = static_cast<double>(sample.generated.value() - 1);
-  interval_.Add(sample.batch, decode / steps);
+  detail::FadingLineFit& fit =
+      sample.beside_long ? interval_beside_long_ : interval_;
+  fit.Add(sample.batch, decode / steps);
 }
 
 bool RatePredictor::FarOver(absl::Duration predicted, absl::Duration seen) {
--- a/packages/core/src/owner/target_owner.cc
+++ b/packages/core/src/owner/target_owner.cc
@@ -224,8 +224,8 @@
   charge.output = work.request.max_output;
   charge.suspect = work.request.suspect;
   charge.prefill = work.prefill;
-  charge.prefill_with_ahead =
-      ledger_.PendingPrefill(now, work.length) + work.prefill;
+  charge.prefill_with_ahead = PendingPrefill(now, work.length) + work.prefill;
+  charge.beside_long = ledger_.Prefilling(LengthClass::kLong) > 0;
   charge.granted_at = now;
   charge.first_token_at = now + rates_.FirstToken(charge.prefill_with_ahead);
   charge.heard_at = now;
@@ -277,12 +277,14 @@
   estimate.charge = demand.prompt + demand.output;
   estimate.prefill = std::max(demand.prompt - demand.matched, Tokens(0));
   estimate.prefill_with_ahead = estimate.prefill +
-                                ledger_.PendingPrefill(now, estimate.length) +
+                                PendingPrefill(now, estimate.length) +
                                 queue_.WaitingPrefill(estimate.length);
   estimate.wait = WaitForMemory(estimate.charge, estimate.length);
   const Tokens output(static_cast<int64_t>(
       output_share_ * static_cast<double>(demand.output.value())));
-  const absl::Duration decode = rates_.Decode(output, ledger_.running() + 1);
+  const absl::Duration decode =
+      rates_.Decode(output, ledger_.running() + 1,
+                    ledger_.Prefilling(LengthClass::kLong) > 0);
   estimate.first_token =
       estimate.wait + rates_.FirstToken(estimate.prefill_with_ahead);
   estimate.finish = estimate.first_token + decode;
@@ -534,6 +536,7 @@
   RateSample sample;
   sample.prefill = charge.prefill_with_ahead;
   sample.batch = ledger_.running();
+  sample.beside_long = charge.beside_long;
   sample.first_token = settled.first_token;
   sample.total = settled.total;
   sample.generated = settled.generated;
@@ -889,6 +892,10 @@
                        foreign_);
 }
 
+Tokens TargetOwner::PendingPrefill(absl::Time now, LengthClass length) const {
+  return ledger_.PendingPrefill(now, length, rates_.Prefill(Tokens(1)));
+}
+
 TargetRoom TargetOwner::RoomAt(absl::Time now) const {
   TargetRoom room;
   room.now = now;
@@ -898,10 +905,9 @@
   for (const LengthClass length : kClasses) {
     const auto i = static_cast<size_t>(length);
     room.charged_by_class[i] = ledger_.charged(length);
-    room.prefilling[i] = ledger_.Prefilling(now, length);
+    room.prefilling[i] = ledger_.Prefilling(length);
   }
-  room.short_backlog =
-      rates_.Prefill(ledger_.PendingPrefill(now, LengthClass::kShort));
+  room.short_backlog = rates_.Prefill(PendingPrefill(now, LengthClass::kShort));
   return room;
 }
 
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -52,6 +52,7 @@
   r->seen_running = true;
   if (r->first_token == absl::ZeroDuration()) {
     r->first_token = now - r->started_at;
+    TellFirstToken(*r, event.tokens, actions);
   }
   const Tokens before = r->answer.delivered();
   std::vector<AnswerPart> released;
@@ -71,6 +72,17 @@
   }
 }
 
+void RequestFlow::TellFirstToken(const ActiveRequest& r,
+                                 Tokens generated,
+                                 Actions* actions) {
+  for (const Place& it : r.places) {
+    AttemptsAlive alive;
+    alive.attempts.push_back(
+        {r.spec.id, r.attempt, it.target, it.held, generated});
+    actions->push_back(SendPeer{it.owner, std::move(alive)});
+  }
+}
+
 void RequestFlow::OnAttemptDone(absl::Time now,
                                 const AttemptDone& event,
                                 Actions* actions) {
--- a/tests/core/owner_rates_test.cc
+++ b/tests/core/owner_rates_test.cc
@@ -29,7 +29,8 @@
       absl::ToDoubleSeconds(rates.FirstToken(Tokens(400000)));
   CHECK(at_short == Approx(0.55).epsilon(0.1));
   CHECK(at_long == Approx(100.05).epsilon(0.1));
-  const double decode = absl::ToDoubleSeconds(rates.Decode(Tokens(100), 4));
+  const double decode =
+      absl::ToDoubleSeconds(rates.Decode(Tokens(100), 4, false));
   CHECK(decode == Approx(3.0).epsilon(0.1));
 }
 
--- a/tools/measure/owner_routing.cc
+++ b/tools/measure/owner_routing.cc
@@ -100,8 +100,8 @@
     for (size_t target = 0; target < engines_.size(); ++target) {
       probe.target = fleet_.targets()[target].id;
       const core::ProbeReply reply = table_.OnProbe(loop_.now(), probe);
-      if (reply.can_serve && reply.first_token < least) {
-        least = reply.first_token;
+      if (reply.can_serve && reply.finish < least) {
+        least = reply.finish;
         best = target;
       }
     }
@@ -147,6 +147,7 @@
       flights_[i].generated = 1;
       flights_[i].first_token = loop_.now() - flights_[i].started;
       results_[i].first_token = loop_.now() + kHop - flights_[i].arrived;
+      loop_.After(2 * kHop, [this, i] { TellFirstToken(i); });
     };
     run.on_done = [this, i] { loop_.After(2 * kHop, [this, i] { End(i); }); };
     run.on_broken = [] {};
@@ -172,6 +173,20 @@
     Wake();
   }
 
+  core::AttemptsAlive::Entry AliveEntry(size_t i) const {
+    return {RequestId(std::to_string(i)), AttemptNumber(flights_[i].attempt),
+            fleet_.targets()[flights_[i].target].id,
+            Tokens(jobs_[i].prompt + jobs_[i].max_output),
+            Tokens(flights_[i].generated)};
+  }
+
+  void TellFirstToken(size_t i) {
+    if (flights_[i].running) {
+      table_.OnAlive(loop_.now(), self_, {{AliveEntry(i)}});
+      Wake();
+    }
+  }
+
   void Beat() {
     core::AttemptsAlive alive;
     for (size_t i = first_open_; i < flights_.size(); ++i) {
@@ -182,11 +197,7 @@
         ++first_open_;
       }
       if (flights_[i].running) {
-        alive.attempts.push_back({RequestId(std::to_string(i)),
-                                  AttemptNumber(flights_[i].attempt),
-                                  fleet_.targets()[flights_[i].target].id,
-                                  Tokens(jobs_[i].prompt + jobs_[i].max_output),
-                                  Tokens(flights_[i].generated)});
+        alive.attempts.push_back(AliveEntry(i));
       }
     }
     table_.OnAlive(loop_.now(), self_, alive);
