--- a/packages/core/include/umbertrail/core/fleet/fleet.h
+++ b/packages/core/include/umbertrail/core/fleet/fleet.h
@@ -42,6 +42,7 @@
   OwnerClaim ClaimOf(const TargetId& target, absl::Time now) const override;
   std::optional<Reason> Barred(const TargetId& target,
                                absl::Time now) const override;
+  bool ListConfirmed(absl::Time now) const override;
   bool MayDispatch(absl::Time now) const override;
 
   // Events, each with its time, which never falls.
--- a/packages/core/include/umbertrail/core/fleet_view.h
+++ b/packages/core/include/umbertrail/core/fleet_view.h
@@ -45,6 +45,10 @@
   virtual std::optional<Reason> Barred(const TargetId& target,
                                        absl::Time now) const = 0;
 
+  // Whether the list of instances was read lately enough that an instance
+  // missing from it is known to be missing.
+  virtual bool ListConfirmed(absl::Time now) const = 0;
+
   // Whether this instance may dispatch new work: what it believes was
   // confirmed recently enough.
   virtual bool MayDispatch(absl::Time now) const = 0;
--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -94,6 +94,11 @@
   return std::nullopt;
 }
 
+bool Fleet::ListConfirmed(absl::Time now) const {
+  return membership_.instances_known() &&
+         now - membership_.instances_read_at() <= config_.list_confirm_limit;
+}
+
 bool Fleet::MayDispatch(absl::Time now) const {
   return store_.manifest() != nullptr &&
          freshness_.MayDispatch(now, ListedOthers() == 0);
--- a/packages/core/src/owner/owner_table.cc
+++ b/packages/core/src/owner/owner_table.cc
@@ -169,12 +169,7 @@
 }
 
 void OwnerTable::NoteInstances(absl::Time now) {
-  // A full claim is had only with a list that was confirmed lately.
-  const bool confirmed =
-      std::any_of(owners_.begin(), owners_.end(), [&](const auto& it) {
-        return context_.fleet->ClaimOf(it.first, now) == OwnerClaim::kFull;
-      });
-  if (confirmed) {
+  if (context_.fleet->ListConfirmed(now)) {
     holders_.OnList(now, context_.fleet->instances());
   }
 }
--- a/tests/core/fake_fleet.h
+++ b/tests/core/fake_fleet.h
@@ -38,6 +38,7 @@
     return barred_.count(target) == 0 ? std::nullopt
                                       : std::optional(Reason::kNoTarget);
   }
+  bool ListConfirmed(absl::Time) const override { return true; }
   bool MayDispatch(absl::Time) const override { return may_dispatch_; }
 
   manifest::Manifest manifest_;
--- a/tests/core/owner_fakes.h
+++ b/tests/core/owner_fakes.h
@@ -45,6 +45,15 @@
   std::optional<Reason> Barred(const TargetId&, absl::Time) const override {
     return barred_;
   }
+  // As a list that can't be confirmed gives no full claim.
+  bool ListConfirmed(absl::Time now) const override {
+    for (const TargetInfo& it : targets()) {
+      if (ClaimOf(it.id, now) == OwnerClaim::kFull) {
+        return true;
+      }
+    }
+    return false;
+  }
   bool MayDispatch(absl::Time) const override { return fresh_; }
 
   OwnerClaim claim_ = OwnerClaim::kFull;
--- a/tools/measure/static_fleet.h
+++ b/tools/measure/static_fleet.h
@@ -45,6 +45,7 @@
                                      absl::Time) const override {
     return std::nullopt;
   }
+  bool ListConfirmed(absl::Time) const override { return true; }
   bool MayDispatch(absl::Time) const override { return true; }
 
  private:
