Deaths are told to homes that came after them

Change: whoever knows of a death tells the homes that the list names now; each death is counted once by whose run it was.

--- a/packages/core/include/umbertrail/core/messages.h
+++ b/packages/core/include/umbertrail/core/messages.h
@@ -209,6 +209,9 @@
   AttemptNumber attempt;
   Fingerprint fingerprint;
   ScreenEnd end = ScreenEnd::kReleased;
+  // Whose run it was, when a home tells another of a death; else empty, and it
+  // was the sender's.
+  InstanceRef holder;
 };
 
 // -- Calls that may not be repeated
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "umbertrail/core/actions.h"
 #include "umbertrail/core/messages.h"
 #include "umbertrail/core/mutations.h"
 #include "umbertrail/core/node.h"
@@ -41,6 +43,9 @@
   void OnEnded(absl::Time now,
                const InstanceRef& from,
                const ScreenEnded& ended);
+  // Tells deaths to homes that came after them. A death outlives the instances
+  // that saw it as long as one that knows of it is there.
+  void OnFleetChanged(Actions* actions);
   // Frees the runs of an incarnation that is over.
   void OnHolderGone(const InstanceRef& holder);
 
@@ -67,6 +72,8 @@
   struct Entry {
     // At most kDeathLimit of them.
     std::vector<Death> deaths;
+    // Homes that were told of them.
+    std::set<InstanceId> told;
     bool proven = false;
     absl::Time touched;
     std::vector<Run> runs;
@@ -82,6 +89,8 @@
   const FleetView* fleet_;
   const Mutations* mutations_;
   std::map<Fingerprint, Entry> entries_;
+  // Those with deaths.
+  std::set<Fingerprint> deadly_;
   // When it was first asked or told of anything, which is soon after its start.
   absl::Time born_ = absl::InfiniteFuture();
   absl::Time swept_ = absl::InfinitePast();
--- a/packages/core/src/node.cc
+++ b/packages/core/src/node.cc
@@ -93,6 +93,7 @@
   told_generation_ = fleet_.generation();
   placement_.OnFleetChanged();
   owners_.OnFleetChanged(now, actions);
+  screen_home_.OnFleetChanged(actions);
 }
 
 Actions Node::Impl::DeliverLocally(absl::Time now, Actions actions) {
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -241,9 +241,12 @@
       TellDeath(now, post_mortem, actions);
     } else {
       for (const InstanceId& home : post_mortem.screen_homes) {
-        actions->push_back(SendPeer{
-            home, ScreenEnded{post_mortem.request, post_mortem.screen_attempt,
-                              post_mortem.fingerprint, ScreenEnd::kReleased}});
+        actions->push_back(
+            SendPeer{home, ScreenEnded{post_mortem.request,
+                                       post_mortem.screen_attempt,
+                                       post_mortem.fingerprint,
+                                       ScreenEnd::kReleased,
+                                       {}}});
       }
     }
   }
@@ -258,8 +261,11 @@
 void RequestFlow::TellDeath(absl::Time now,
                             const PostMortem& post_mortem,
                             Actions* actions) {
-  const ScreenEnded ended{post_mortem.request, post_mortem.screen_attempt,
-                          post_mortem.fingerprint, ScreenEnd::kDied};
+  const ScreenEnded ended{post_mortem.request,
+                          post_mortem.screen_attempt,
+                          post_mortem.fingerprint,
+                          ScreenEnd::kDied,
+                          {}};
   for (const InstanceId& home : post_mortem.screen_homes) {
     actions->push_back(SendPeer{home, ended});
   }
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -68,8 +68,10 @@
                                 ScreenEnd end,
                                 Actions* actions) {
   for (const InstanceId& home : r->screen_homes) {
-    actions->push_back(SendPeer{home, ScreenEnded{r->spec.id, r->screen_attempt,
-                                                  r->spec.fingerprint, end}});
+    actions->push_back(SendPeer{
+        home,
+        ScreenEnded{
+            r->spec.id, r->screen_attempt, r->spec.fingerprint, end, {}}});
   }
   r->screen_homes.clear();
   r->screen_agreed.clear();
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -1,6 +1,7 @@
 #include "umbertrail/core/request/screen_home.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "umbertrail/core/request/rendezvous.h"
@@ -8,6 +9,8 @@
 namespace umbertrail::core {
 namespace {
 
+// Instances that remember a death, so that homes replaced forget nothing.
+constexpr std::size_t kDeathHomes = 3;
 // Homes of one fingerprint.
 constexpr std::size_t kHomes = 2;
 constexpr absl::Duration kSweepInterval = absl::Minutes(1);
@@ -82,19 +85,42 @@
     entry.runs.erase(run);
   }
   if (ended.end == ScreenEnd::kDied) {
-    CountDeath({from, ended.request, ended.attempt}, &entry);
+    const bool own = ended.holder.id.empty();
+    CountDeath({own ? from : ended.holder, ended.request, ended.attempt},
+               &entry);
+    deadly_.insert(ended.fingerprint);
     entry.proven = false;
   }
   if (ended.end == ScreenEnd::kCompleted) {
     // One death beside others was not this content's doing: it ran whole.
     if (entry.deaths.size() < kDeathLimit) {
       entry.deaths.clear();
+      entry.told.clear();
+      deadly_.erase(ended.fingerprint);
     }
     entry.proven = entry.deaths.empty();
     entry.runs.clear();
   }
 }
 
+void ScreenHome::OnFleetChanged(Actions* actions) {
+  for (const Fingerprint fingerprint : deadly_) {
+    Entry& entry = entries_.at(fingerprint);
+    const auto homes =
+        RankInstances(fingerprint.value(), fleet_->instances(), kDeathHomes);
+    for (const InstanceId& home : homes) {
+      const bool news = home != self_ && entry.told.insert(home).second;
+      for (const Death& it : entry.deaths) {
+        if (news) {
+          actions->push_back(
+              SendPeer{home, ScreenEnded{it.request, it.attempt, fingerprint,
+                                         ScreenEnd::kDied, it.holder}});
+        }
+      }
+    }
+  }
+}
+
 void ScreenHome::OnHolderGone(const InstanceRef& holder) {
   for (auto& [fingerprint, entry] : entries_) {
     auto& runs = entry.runs;
@@ -112,7 +138,11 @@
   }
   swept_ = now;
   for (auto it = entries_.begin(); it != entries_.end();) {
-    it = now - it->second.touched > kMemory ? entries_.erase(it) : ++it;
+    const bool old = now - it->second.touched > kMemory;
+    if (old) {
+      deadly_.erase(it->first);
+    }
+    it = old ? entries_.erase(it) : std::next(it);
   }
 }
 
@@ -153,6 +183,7 @@
       std::any_of(entry->deaths.begin(), entry->deaths.end(), same);
   if (!known && entry->deaths.size() < kDeathLimit) {
     entry->deaths.push_back(std::move(death));
+    entry->told.clear();
   }
 }
 
--- a/packages/peer/src/message_fields.h
+++ b/packages/peer/src/message_fields.h
@@ -270,7 +270,8 @@
     std::make_tuple(&core::ScreenEnded::request,
                     &core::ScreenEnded::attempt,
                     &core::ScreenEnded::fingerprint,
-                    &core::ScreenEnded::end);
+                    &core::ScreenEnded::end,
+                    &core::ScreenEnded::holder);
 
 template <>
 inline constexpr auto kFields<core::SubmitForward> =
--- a/tests/core/request_screen_home_test.cc
+++ b/tests/core/request_screen_home_test.cc
@@ -28,7 +28,7 @@
   }
   void End(const std::string& request, ScreenEnd end) {
     home.OnEnded(kStart, kFrom,
-                 {RequestId(request), AttemptNumber(1), kContent, end});
+                 {RequestId(request), AttemptNumber(1), kContent, end, {}});
   }
 };
 
@@ -70,6 +70,25 @@
   CHECK(it.Ask("b") == ScreenVerdict::kWait);
 }
 
+TEST_CASE("deaths are told once to homes that came after them") {
+  Home it;
+  it.Ask("a");
+  it.End("a", ScreenEnd::kDied);
+  it.fleet.instances_.push_back({kFrom.id, DataCentreId("a")});
+  Actions actions;
+  it.home.OnFleetChanged(&actions);
+  it.home.OnFleetChanged(&actions);
+  REQUIRE(actions.size() == 1);
+  const auto& send = std::get<SendPeer>(actions.front());
+  CHECK(send.to == kFrom.id);
+  const auto& told = std::get<ScreenEnded>(send.payload);
+  CHECK(told.end == ScreenEnd::kDied);
+  CHECK(told.holder == kFrom);
+  // Told back by another home, it is the same death.
+  it.home.OnEnded(kStart, {InstanceId("10.0.0.9:7000"), Incarnation(9)}, told);
+  CHECK(it.home.DeathsOf(kContent) == 1);
+}
+
 TEST_CASE("a gone holder's runs and expired ones are freed") {
   Home it;
   it.Ask("a");
