--- a/tests/daemon/end_to_end_test.cc
+++ b/tests/daemon/end_to_end_test.cc
@@ -162,9 +162,7 @@
   }
 }
 
-// Listed in KNOWN-RED.txt.
-TEST_CASE("a graceful stop finishes requests that wait for a target",
-          "[.][known-red]") {
+TEST_CASE("a graceful stop finishes requests that wait for a target") {
   Fleet fleet;
   REQUIRE(fleet.AwaitReady(0));
   REQUIRE(fleet.AwaitReady(1));
