--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,6 +8,7 @@
 # Usage: tools/demo.sh [BUILD]
 #   UMBERTRAIL_DEMO_PORT     first of nine ports of the instances (free ones)
 #   UMBERTRAIL_DEMO_SECONDS  how long callers send (30, at least 24)
+#   UMBERTRAIL_DEMO_FAULTS   1: engines also die and their links go silent
 #   UMBERTRAIL_DEMO_KEEP     a directory to keep logs and settings in
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -181,6 +182,11 @@
   curl -s "http://$1/standin/counters" | sed -n "s/.*\"$2\":\([0-9]*\).*/\1/p"
 }
 
+# Sets a fault of the engine with this index.
+engine_fault() {
+  curl -sf -o /dev/null -d "$2" "http://${engines[$1]}/standin/fault"
+}
+
 # Requests that the engines of the closed data centre have accepted.
 closed_accepted() {
   local sum=0
@@ -253,6 +259,12 @@
 sleep 4
 echo "   requests it received in the next 4 s: $(($(closed_accepted) - back))"
 
+if [ "${UMBERTRAIL_DEMO_FAULTS:-}" = 1 ]; then
+  echo "   open links of engine 0 go silent, engine 2 dies"
+  engine_fault 0 '{"mute_streams": true}'
+  engine_fault 2 '{"crash": true}'
+fi
+
 echo "   instance 2 is stopped"
 publish_instances 2
 kill -TERM "${instance_pids[2]}"
