Target client: kept links and cursors are bounded

Links to targets that are polled no more are closed after idling, cursors of replaced targets forgotten, and the first report of a boot counts for the cursor. A link's progress limit is clamped to what the library's timers take. The demo ends its processes within five seconds.

--- a/packages/http/src/link.cc
+++ b/packages/http/src/link.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -20,6 +21,10 @@
 // Timer granularity: a wait that ended this much before the limit timed out.
 constexpr absl::Duration kTimerSlack = absl::Milliseconds(20);
 
+// What the library's timers are asked for at most and at least.
+constexpr absl::Duration kLongestLimit = absl::Hours(24);
+constexpr absl::Duration kShortestLimit = absl::Milliseconds(1);
+
 // A write to a closed connection must come back as an error.
 void IgnoreBrokenPipeSignal() {
   static const bool ignored = [] {
@@ -145,7 +150,8 @@
   explicit Impl(LinkSettings settings)
       : settings_(std::move(settings)), client_(BaseUrl(settings_)) {
     IgnoreBrokenPipeSignal();
-    const auto limit = absl::ToChronoMicroseconds(settings_.progress_limit);
+    const auto limit = absl::ToChronoMicroseconds(
+        std::clamp(settings_.progress_limit, kShortestLimit, kLongestLimit));
     client_.set_connection_timeout(
         absl::ToChronoMicroseconds(settings_.connect_timeout));
     client_.set_read_timeout(limit);
--- a/packages/target/src/client.cc
+++ b/packages/target/src/client.cc
@@ -1,5 +1,6 @@
 #include "umbertrail/target/client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <utility>
@@ -22,6 +23,10 @@
 
 constexpr int kStatusOk = 200;
 
+// Targets whose cache events are followed. Forgetting a position costs a
+// longer report, so replaced targets need no tracking.
+constexpr size_t kMaxCursors = 4096;
+
 // Names one try of one request.
 struct AttemptKey {
   RequestId request;
@@ -282,12 +287,18 @@
 
   void NoteEvents(const TargetId& target, const core::TargetReport& report) {
     absl::MutexLock lock(&mutex_);
+    if (cursors_.size() >= kMaxCursors) {
+      cursors_.clear();
+    }
     CacheCursor& cursor = cursors_[target];
     if (cursor.boot != report.boot) {
-      // Sequences start again; events before the old position were not asked
+      // Sequences start again. Events before the old position were not asked
       // for, so the next poll reads from the first.
+      const bool asked_for_all = cursor.sequence == 0;
       cursor = CacheCursor{report.boot, 0};
-      return;
+      if (!asked_for_all) {
+        return;
+      }
     }
     for (const core::CacheEvent& it : report.cache_events) {
       cursor.sequence = std::max(cursor.sequence, it.sequence);
--- a/packages/target/src/control_links.cc
+++ b/packages/target/src/control_links.cc
@@ -75,8 +75,18 @@
 
 void ControlLinks::Keep(const std::string& address,
                         std::shared_ptr<http::Link> link) {
+  const absl::Time now = absl::Now();
   absl::MutexLock lock(&mutex_);
-  kept_.insert_or_assign(address, Kept{std::move(link), absl::Now()});
+  // Links to targets that are polled no more must not pile up.
+  for (auto it = kept_.begin(); it != kept_.end();) {
+    const bool stale = now - it->second.last_used > settings_.max_idle;
+    if (stale) {
+      kept_.erase(it++);
+    } else {
+      ++it;
+    }
+  }
+  kept_.insert_or_assign(address, Kept{std::move(link), now});
 }
 
 http::Answer ControlLinks::Send(const std::shared_ptr<http::Link>& link,
--- a/tests/target/control_test.cc
+++ b/tests/target/control_test.cc
@@ -117,6 +117,7 @@
   CHECK(target.connections() == 1);
   const auto requests = target.requests();
   CHECK(requests[0].find("events_after=0 ") != std::string::npos);
+  CHECK(requests[1].find("events_after=5 ") != std::string::npos);
   CHECK(requests[2].find("events_after=5 ") != std::string::npos);
 }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -28,15 +28,27 @@
 instance_pids=()
 entries=()
 
+# Sends a signal to processes that may have ended.
+end_all() {
+  local signal=$1
+  shift
+  for it in "$@"; do
+    kill "-$signal" "$it" 2>/dev/null || true
+  done
+}
+
 finish() {
   local code=$?
   trap - EXIT
-  for it in "${instance_pids[@]}" "${pids[@]}"; do
-    kill "$it" 2>/dev/null || true
-  done
-  for it in "${instance_pids[@]}" "${pids[@]}"; do
-    wait "$it" 2>/dev/null || true
+  local started=("${instance_pids[@]}" "${pids[@]}")
+  end_all TERM "${started[@]}"
+  # A graceful stop may wait for requests that nobody wants any more.
+  for _ in $(seq 50); do
+    [ -z "$(jobs -pr)" ] && break
+    sleep 0.1
   done
+  end_all KILL "${started[@]}"
+  wait
   if [ -n "${UMBERTRAIL_DEMO_KEEP:-}" ]; then
     cp -r "$work/." "$UMBERTRAIL_DEMO_KEEP/"
   elif [ "$code" -ne 0 ]; then
@@ -235,7 +247,7 @@
 
 echo "-- overhead of a short prompt while nothing else runs"
 "$build/tools/demo_client" overhead --entries "$entry_list" \
-  --accounts "$accounts" --engines "${engines[0]},${engines[2]}" --count 60
+  --accounts "$accounts" --engines "${engines[0]},${engines[2]}" --count 120
 
 echo "-- $seconds s of prompts and filings"
 "$build/tools/demo_client" load --entries "$entry_list" \
