--- a/packages/core/include/umbertrail/core/fleet/ownership.h
+++ b/packages/core/include/umbertrail/core/fleet/ownership.h
@@ -38,9 +38,11 @@
             const Membership* membership,
             const Mutations* mutations);
 
-  // A list or the manifest changed. Cost: targets times the instances of their
-  // region. `manifest` may be null.
-  void OnListsChanged(absl::Time now, const manifest::Manifest* manifest);
+  // A list changed. Cost: targets times the instances of their region.
+  void OnListsChanged(absl::Time now);
+  // Another manifest is in force. Costs as much where regions changed, next to
+  // nothing otherwise.
+  void OnManifest(absl::Time now, const manifest::Manifest& manifest);
   // A mark of an instance changed. Cost: linear in targets.
   void OnMarksChanged(absl::Time now);
   // All claims settle anew.
@@ -71,9 +73,11 @@
     std::vector<InstanceId> suspects;
   };
 
+  // Sorts the instances of `candidates` by their scores for `target`.
   void SortOrder(const TargetInfo& target,
-                 const std::map<DataCentreId, RegionId>& regions,
+                 const std::vector<uint16_t>& candidates,
                  Place* place) const;
+  void SortAll(absl::Time now);
   void UpdatePlace(absl::Time now, Place* place) const;
   void NoteContest(absl::Time now, Place* place) const;
   void NoteSuspects(const TargetInfo& target, Place* place) const;
@@ -86,6 +90,7 @@
   const Membership* const membership_;
   const Mutations* const mutations_;
   std::map<TargetId, Place> places_;
+  std::map<DataCentreId, RegionId> regions_;
 };
 
 }  // namespace umbertrail::core
--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -166,7 +166,7 @@
                             const std::optional<InstanceId>& source,
                             Actions* actions) {
   freshness_.OnRevision(store_.revision());
-  ownership_.OnListsChanged(now, store_.manifest());
+  ownership_.OnManifest(now, *store_.manifest());
   exchange_.SetRivals(ownership_.Rivals());
   ++generation_;
   // Passed on at once: a change must not wait for the next exchange.
@@ -198,7 +198,7 @@
 }
 
 void Fleet::ListsChanged(absl::Time now) {
-  ownership_.OnListsChanged(now, store_.manifest());
+  ownership_.OnListsChanged(now);
   MarksChanged(now);
 }
 
--- a/packages/core/src/fleet/ownership.cc
+++ b/packages/core/src/fleet/ownership.cc
@@ -50,13 +50,29 @@
       membership_(membership),
       mutations_(mutations) {}
 
-void Ownership::OnListsChanged(absl::Time now,
-                               const manifest::Manifest* manifest) {
+void Ownership::OnListsChanged(absl::Time now) {
+  SortAll(now);
+}
+
+void Ownership::OnManifest(absl::Time now, const manifest::Manifest& manifest) {
   std::map<DataCentreId, RegionId> regions;
-  if (manifest != nullptr) {
-    for (const manifest::DataCentre& it : manifest->data_centres) {
-      regions[it.id] = it.region;
-    }
+  for (const manifest::DataCentre& it : manifest.data_centres) {
+    regions[it.id] = it.region;
+  }
+  if (regions != regions_) {
+    regions_ = std::move(regions);
+    SortAll(now);
+  }
+}
+
+void Ownership::SortAll(absl::Time now) {
+  std::map<RegionId, std::vector<uint16_t>> by_region;
+  std::vector<uint16_t> all;
+  const std::vector<InstanceInfo>& instances = membership_->instances();
+  for (size_t n = 0; n < instances.size(); ++n) {
+    const auto i = static_cast<uint16_t>(n);
+    by_region[RegionOf(regions_, instances[n].data_centre)].push_back(i);
+    all.push_back(i);
   }
   std::map<TargetId, Place> former = std::move(places_);
   places_.clear();
@@ -64,7 +80,9 @@
     Place& place = places_[it.id];
     place.first_since = former[it.id].first_since;
     place.contested_until = former[it.id].contested_until;
-    SortOrder(it, regions, &place);
+    const auto near = by_region.find(RegionOf(regions_, it.data_centre));
+    // A region without instances is served from the others.
+    SortOrder(it, near == by_region.end() ? all : near->second, &place);
     NoteSuspects(it, &place);
   }
   OnMarksChanged(now);
@@ -156,22 +174,13 @@
 }
 
 void Ownership::SortOrder(const TargetInfo& target,
-                          const std::map<DataCentreId, RegionId>& regions,
+                          const std::vector<uint16_t>& candidates,
                           Place* place) const {
-  const RegionId region = RegionOf(regions, target.data_centre);
   std::vector<std::pair<uint64_t, uint16_t>> scored;
-  std::vector<std::pair<uint64_t, uint16_t>> elsewhere;
-  const std::vector<InstanceInfo>& instances = membership_->instances();
-  for (size_t n = 0; n < instances.size(); ++n) {
-    const auto i = static_cast<uint16_t>(n);
-    const bool near = RegionOf(regions, instances[i].data_centre) == region;
-    const uint64_t score =
-        OwnerScore(target.id, instances[i], target.data_centre);
-    (near ? scored : elsewhere).emplace_back(score, i);
-  }
-  // A region without instances is served from the others.
-  if (scored.empty()) {
-    scored = std::move(elsewhere);
+  scored.reserve(candidates.size());
+  for (const uint16_t i : candidates) {
+    const InstanceInfo& instance = membership_->instances()[i];
+    scored.emplace_back(OwnerScore(target.id, instance, target.data_centre), i);
   }
   std::sort(scored.begin(), scored.end(), std::greater<>());
   place->order.reserve(scored.size());
--- a/tests/core/orders_rollout_test.cc
+++ b/tests/core/orders_rollout_test.cc
@@ -15,10 +15,12 @@
 // targets that it owns.
 class OwnerView : public FleetView {
  public:
-  const manifest::Manifest* manifest() const override { return &manifest_; }
-  const std::vector<TargetInfo>& targets() const override { return targets_; }
+  const manifest::Manifest* manifest() const override { return &held_manifest; }
+  const std::vector<TargetInfo>& targets() const override {
+    return held_targets;
+  }
   const TargetInfo* FindTarget(const TargetId& id) const override {
-    for (const TargetInfo& it : targets_) {
+    for (const TargetInfo& it : held_targets) {
       if (it.id == id) {
         return &it;
       }
@@ -26,23 +28,23 @@
     return nullptr;
   }
   const std::vector<InstanceInfo>& instances() const override {
-    return instances_;
+    return held_instances;
   }
   std::vector<InstanceId> Ranking(const TargetId&) const override { return {}; }
   OwnerClaim ClaimOf(const TargetId& target, absl::Time) const override {
-    const auto it = claims_.find(target);
-    return it == claims_.end() ? OwnerClaim::kNone : it->second;
+    const auto it = held_claims.find(target);
+    return it == held_claims.end() ? OwnerClaim::kNone : it->second;
   }
   std::optional<Reason> Barred(const TargetId&, absl::Time) const override {
     return std::nullopt;
   }
-  bool MayDispatch(absl::Time) const override { return may_dispatch_; }
+  bool MayDispatch(absl::Time) const override { return dispatches; }
 
-  manifest::Manifest manifest_;
-  std::vector<TargetInfo> targets_;
-  std::vector<InstanceInfo> instances_;
-  std::map<TargetId, OwnerClaim> claims_;
-  bool may_dispatch_ = true;
+  manifest::Manifest held_manifest;
+  std::vector<TargetInfo> held_targets;
+  std::vector<InstanceInfo> held_instances;
+  std::map<TargetId, OwnerClaim> held_claims;
+  bool dispatches = true;
 };
 
 struct Engine {
@@ -67,8 +69,8 @@
     targets_ = MakeTargets(1, engines).targets;
     for (int i = 0; i < owners; ++i) {
       views_.push_back(std::make_unique<OwnerView>());
-      views_[i]->manifest_ = manifest_;
-      views_[i]->targets_ = targets_;
+      views_[i]->held_manifest = manifest_;
+      views_[i]->held_targets = targets_;
       adopt_at_.push_back(absl::InfiniteFuture());
       orders_.push_back(std::make_unique<Orders>(
           OrdersConfig(), views_[i].get(), random_.get(), &mutations_));
@@ -80,9 +82,9 @@
 
   void Own(const TargetId& target, size_t owner) {
     for (auto& it : views_) {
-      it->claims_.erase(target);
+      it->held_claims.erase(target);
     }
-    views_[owner]->claims_[target] = OwnerClaim::kFull;
+    views_[owner]->held_claims[target] = OwnerClaim::kFull;
   }
 
   // A new revision; owners take it over within the time that it spreads.
@@ -144,7 +146,7 @@
 
   void Step(size_t i) {
     if (adopt_at_[i] <= now_) {
-      views_[i]->manifest_ = manifest_;
+      views_[i]->held_manifest = manifest_;
       adopt_at_[i] = absl::InfiniteFuture();
     }
     Actions actions;
@@ -272,10 +274,10 @@
 
 struct OneTarget {
   explicit OneTarget(Mutations m = {}) : mutations(m) {
-    view.manifest_ = MakeManifest(3, 1);
-    view.manifest_.models[0].min_serving = 0;
-    view.targets_ = MakeTargets(1, 1).targets;
-    view.claims_[view.targets_[0].id] = OwnerClaim::kFull;
+    view.held_manifest = MakeManifest(3, 1);
+    view.held_manifest.models[0].min_serving = 0;
+    view.held_targets = MakeTargets(1, 1).targets;
+    view.held_claims[view.held_targets[0].id] = OwnerClaim::kFull;
   }
 
   // Hands in a report and returns the orders that it brings.
@@ -286,8 +288,8 @@
     report.version = "old";
     report.fence = ManifestRevision(fence);
     Actions actions;
-    orders.OnReport(kStart, view.targets_[0].id, report, &actions);
-    orders.OnReport(kStart + absl::Seconds(10), view.targets_[0].id, report,
+    orders.OnReport(kStart, view.held_targets[0].id, report, &actions);
+    orders.OnReport(kStart + absl::Seconds(10), view.held_targets[0].id, report,
                     &actions);
     return static_cast<int>(
         std::count_if(actions.begin(), actions.end(), [](const Action& it) {
@@ -315,17 +317,17 @@
   const OwnerClaim claim =
       GENERATE(OwnerClaim::kNone, OwnerClaim::kSettling, OwnerClaim::kHalf);
   OneTarget serving;
-  serving.view.claims_.begin()->second = claim;
+  serving.view.held_claims.begin()->second = claim;
   CHECK(serving.OrdersAfter(ModelId("reader"), 2) == 0);
   OneTarget empty;
-  empty.view.claims_.begin()->second = claim;
+  empty.view.held_claims.begin()->second = claim;
   CHECK(empty.OrdersAfter(ModelId(), 2) ==
         (claim == OwnerClaim::kHalf ? 1 : 0));
 }
 
 TEST_CASE("an instance that may not dispatch orders nothing") {
   OneTarget one;
-  one.view.may_dispatch_ = false;
+  one.view.dispatches = false;
   CHECK(one.OrdersAfter(ModelId(), 1) == 0);
 }
 
