--- a/tools/capacity/node_capacity.cc
+++ b/tools/capacity/node_capacity.cc
@@ -47,6 +47,10 @@
 // Allocations that a target's report lists: its running requests.
 constexpr int kAllocations = 84;
 constexpr size_t kOwnedTargets = 2;
+// One answer in this many carries the whole head.
+constexpr uint64_t kWholeHeadEvery = 16 0;
+// Homes that must agree before content runs.
+constexpr int kScreenHomes = 2;
 constexpr uint64_t kIncarnation = 0x9e3779b97f4a7c15;
 
 class PlainSigner : public core::TicketSigner {
@@ -151,6 +155,7 @@
   double events = 0;
   size_t owned = 0;
   std::map<std::string, double> sent_by_message;
+  std::map<std::string, double> received_by_message;
 };
 
 // Feeds one node and answers its actions as peers, targets and platform would.
@@ -261,8 +266,11 @@
     envelope.revision = manifest_.revision;
     envelope.payload = std::move(payload);
     CallAt(at, [this, envelope] {
-      costs_.received_bytes +=
+      const auto bytes =
           static_cast<double>(ValueOf(peer::EncodeEnvelope(envelope)).size());
+      costs_.received_bytes += bytes;
+      costs_.received_by_message[std::string(
+          telemetry::NameOf(envelope.payload))] += bytes;
       Handle(core::PeerReceived{envelope});
     });
   }
@@ -314,9 +322,20 @@
     out.fingerprint = ask.fingerprint;
     Receive(now_ + kAnswerDelay, peer, out);
   }
+  // As the node itself answers a peer of its own revision.
+  core::HeadOffer OfferFor(const core::HeadQuery& ask) const {
+    core::HeadOffer out;
+    out.nonce = ask.nonce;
+    out.head.revision = manifest_.revision;
+    if (ask.nonce % kWholeHeadEvery == 0) {
+      out.head = published_.head;
+    }
+    return out;
+  }
   void Answer(int peer, const core::HeadQuery& ask) {
-    Receive(now_ + kAnswerDelay, peer,
-            core::HeadOffer{ask.nonce, published_.head});
+    Receive(now_ + kAnswerDelay, peer, OfferFor(ask));
+    // Others ask as often as this node does.
+    Receive(now_ + kAnswerDelay, SomePeer(), core::HeadQuery{ask.nonce});
   }
   // What another instance got from this one as an owner.
   void Answer(int peer, const core::AdmitReply& reply) {
@@ -487,7 +506,8 @@
     ended.fingerprint = ask.fingerprint;
     ended.end = core::ScreenEnd::kCompleted;
     Receive(now_ + kTokenGap * kAnswerTokens, peer, ended);
-    CallAt(now_ + Gap(scale_.requests_per_second), [this] { ScreenNext(); });
+    CallAt(now_ + Gap(scale_.requests_per_second * kScreenHomes),
+           [this] { ScreenNext(); });
   }
 
   std::vector<TargetId> OwnedTargets() const {
@@ -512,6 +532,9 @@
     for (auto& [name, bytes] : costs_.sent_by_message) {
       bytes /= seconds;
     }
+    for (auto& [name, bytes] : costs_.received_by_message) {
+      bytes /= seconds;
+    }
     // Without what this program itself keeps queued.
     queue_ = {};
     costs_.heap_kib = static_cast<double>(HeapBytes() - heap_before_) / 1024;
@@ -550,6 +573,7 @@
       std::cerr << "no instance owns two targets\n";
       std::exit(1);
     }
+    world.reset();
     world = std::make_unique<World>(scale, self);
   }
   const Costs out = world->Run();
@@ -610,6 +634,9 @@
   for (const auto& [name, bytes] : last.sent_by_message) {
     PrintFigure("sent " + name, bytes, "bytes/s");
   }
+  for (const auto& [name, bytes] : last.received_by_message) {
+    PrintFigure("received " + name, bytes, "bytes/s");
+  }
 }
 
 }  // namespace
