--- a/tools/capacity/node_capacity.cc
+++ b/tools/capacity/node_capacity.cc
@@ -48,7 +48,7 @@
 constexpr int kAllocations = 84;
 constexpr size_t kOwnedTargets = 2;
 // One answer in this many carries the whole head.
-constexpr uint64_t kWholeHeadEvery = 16 0;
+constexpr uint64_t kWholeHeadEvery = 16;
 // Homes that must agree before content runs.
 constexpr int kScreenHomes = 2;
 constexpr uint64_t kIncarnation = 0x9e3779b97f4a7c15;
