--- a/tools/capacity/run.sh
+++ b/tools/capacity/run.sh
@@ -2,7 +2,7 @@
 # Measures the slopes of docs/CAPACITY.md, one program after the other.
 set -euo pipefail
 build=${1:-build}
-for program in message telemetry connection node fleet; do
+for program in message manifest telemetry connection node fleet; do
   binary="$build/tools/${program}_capacity"
   [ -x "$binary" ] || continue
   echo "== $program"
