Telemetry: explain by the caller's id, tickets apart, and a demo that waits

An instance appends its own part to a caller's request id, so explain found nothing by the id that the caller knows. Issued tickets counted as outcomes that did not run.

--- a/packages/cli/src/explain_command.cc
+++ b/packages/cli/src/explain_command.cc
@@ -17,8 +17,9 @@
 // Ids hold only characters that need no escaping in a query.
 bool IsRequestId(const std::string& id) {
   constexpr char kAllowed[] =
-      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
-  constexpr size_t kMaxLength = 64;
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-~";
+  // A caller's id and what an instance appends to it.
+  constexpr size_t kMaxLength = 128;
   return !id.empty() && id.size() <= kMaxLength &&
          id.find_first_not_of(kAllowed) == std::string::npos;
 }
--- a/packages/telemetry/include/umbertrail/telemetry/history.h
+++ b/packages/telemetry/include/umbertrail/telemetry/history.h
@@ -169,8 +169,9 @@
   // Closes the history with its outcome; `outcome.after` is filled in here.
   void Finish(const RequestId& id, absl::Time now, FinalOutcome outcome);
 
-  // All that is held of `id`, oldest first: a caller may send an id again.
-  // Cost: linear in the finished ones held.
+  // All that is held of `id`, finished ones first: a caller may send an id
+  // again. `id` is a whole id or the caller's part of one, before `~`.
+  // Cost: linear in the histories held.
   std::vector<RequestHistory> Find(const RequestId& id) const;
 
  private:
--- a/packages/telemetry/include/umbertrail/telemetry/metrics.h
+++ b/packages/telemetry/include/umbertrail/telemetry/metrics.h
@@ -54,6 +54,9 @@
                     core::Reason reason,
                     core::Ran ran);
 
+  // A ticket was issued; a ticket that is refused counts as an outcome.
+  void CountTicket();
+
   void CountAttempt();
   void CountAttemptFailure(core::AttemptFailure failure);
   void CountPeerMessage(Direction direction, const core::PeerPayload& payload);
--- a/packages/telemetry/src/history.cc
+++ b/packages/telemetry/src/history.cc
@@ -3,6 +3,20 @@
 #include <utility>
 
 namespace umbertrail::telemetry {
+namespace {
+
+// An instance appends this and an id of its own to what a caller chose.
+constexpr char kOwnIdMark = '~';
+
+bool Matches(const std::string& held, const std::string& asked) {
+  if (held == asked) {
+    return true;
+  }
+  return held.size() > asked.size() && held[asked.size()] == kOwnIdMark &&
+         held.compare(0, asked.size(), asked) == 0;
+}
+
+}  // namespace
 
 HistoryStore::HistoryStore(size_t running_limit, size_t finished_limit)
     : running_limit_(running_limit), finished_limit_(finished_limit) {}
@@ -74,13 +88,14 @@
   const absl::MutexLock lock(&mutex_);
   std::vector<RequestHistory> out;
   for (const RequestHistory& it : finished_) {
-    if (it.id == id) {
+    if (Matches(it.id.text(), id.text())) {
       out.push_back(it);
     }
   }
-  const auto running = running_.find(id);
-  if (running != running_.end()) {
-    out.push_back(running->second);
+  for (const auto& [held, history] : running_) {
+    if (Matches(held.text(), id.text())) {
+      out.push_back(history);
+    }
   }
   return out;
 }
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -118,6 +118,9 @@
   Counter& attempts =
       MakeFamily<Counter>(registry, "attempts_total", "Attempts on targets")
           .Add({});
+  Counter& tickets_issued =
+      MakeFamily<Counter>(registry, "tickets_issued_total", "Tickets issued")
+          .Add({});
   Family<Counter>& attempt_failures =
       MakeFamily<Counter>(registry, "attempt_failures_total", "By failure");
   Family<Counter>& peer_messages =
@@ -297,6 +300,10 @@
       .Increment();
 }
 
+void Metrics::CountTicket() {
+  impl_->tickets_issued.Increment();
+}
+
 void Metrics::CountAttempt() {
   impl_->attempts.Increment();
 }
--- a/packages/telemetry/src/node_observer.cc
+++ b/packages/telemetry/src/node_observer.cc
@@ -150,7 +150,9 @@
   void CloseAttempt(const RequestId& id, LiveRequest& live, bool error);
   void CloseAll(const RequestId& id, LiveRequest& live);
   void SeeFirstToken(LiveRequest& live);
+  // Closes a request's spans and history.
   void End(const RequestId& id, const core::Outcome& outcome);
+  void CountOutcome(const RequestId& id, const core::Outcome& outcome);
   LogRecord RecordOf(LogLevel level, StaticText message) const;
   LogRecord RecordOf(LogLevel level,
                      StaticText message,
@@ -666,10 +668,6 @@
   LiveRequest& live = it->second;
   CloseAll(id, live);
   LogOutcome(id, live, outcome);
-  if (!live.forwarded) {
-    sinks_.metrics->CountOutcome(live.account, live.data_centre, outcome.reason,
-                                 outcome.ran);
-  }
   if (live.sampled) {
     OpenHop root;
     root.span = live.root;
@@ -686,11 +684,22 @@
   live_.erase(it);
 }
 
+void NodeObserver::Impl::CountOutcome(const RequestId& id,
+                                      const core::Outcome& outcome) {
+  const LiveRequest* live = FindLive(id);
+  if (live != nullptr && !live->forwarded) {
+    sinks_.metrics->CountOutcome(live->account, live->data_centre,
+                                 outcome.reason, outcome.ran);
+  }
+}
+
 void NodeObserver::Impl::See(const core::FinishRequest& action) {
+  CountOutcome(action.request, action.outcome);
   End(action.request, action.outcome);
 }
 
 void NodeObserver::Impl::See(const core::TicketIssued& action) {
+  sinks_.metrics->CountTicket();
   End(action.request, core::Outcome());
 }
 
--- a/tests/telemetry/history_test.cc
+++ b/tests/telemetry/history_test.cc
@@ -44,6 +44,17 @@
   CHECK_FALSE(found[1].outcome);
 }
 
+TEST_CASE("a request is found by the part of its id that its caller chose") {
+  HistoryStore store(8, 8);
+  store.Begin(HistoryOf("a~1f"));
+  store.Begin(HistoryOf("ab~2f"));
+  store.Finish(RequestId("ab~2f"), kStart, FinalOutcome());
+  CHECK(store.Find(RequestId("a")).size() == 1);
+  CHECK(store.Find(RequestId("ab")).size() == 1);
+  CHECK(store.Find(RequestId("a~1f")).size() == 1);
+  CHECK(store.Find(RequestId("1f")).empty());
+}
+
 TEST_CASE("the store stays within its limits") {
   HistoryStore store(1, 2);
   store.Begin(HistoryOf("a"));
--- a/tests/telemetry/node_observer_test.cc
+++ b/tests/telemetry/node_observer_test.cc
@@ -229,6 +229,17 @@
   CHECK_THAT(f.metrics.Text(), !Contains("umbertrail_outcomes_total{"));
 }
 
+TEST_CASE("an issued ticket is no outcome of a request") {
+  Fixture f;
+  core::TicketIssued issued;
+  issued.request = RequestId("r");
+  f.Feed(core::TicketRequested{RequestId("r"), ClientAccountId("club"),
+                               ServiceId("desk"), "file"},
+         {issued});
+  CHECK_THAT(f.metrics.Text(), Contains("umbertrail_tickets_issued_total 1"));
+  CHECK_THAT(f.metrics.Text(), !Contains("umbertrail_outcomes_total{"));
+}
+
 TEST_CASE("outages are logged at their start and end only") {
   Fixture f;
   for (int i = 0; i < 3; ++i) {
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -72,6 +72,7 @@
 start_standin() {
   local name=$1
   shift
+  : >"$work/$name.log"  # the background process may open it later than sed
   "$build/tools/$1" --run-for "$run_for" "${@:2}" >"$work/$name.log" 2>&1 &
   pids+=($!)
   for _ in $(seq 100); do
