--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,9 @@
 lint: build
 	@tools/lint.sh $(BUILD)
 
-measure: build
-	@$(BUILD)/tools/measure_routing
-
 SEEDS ?= 10000
 soak: build
 	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
+
+measure: build
+	@$(BUILD)/tools/measure_routing
