--- a/tests/core/orders_rollout_test.cc
+++ b/tests/core/orders_rollout_test.cc
@@ -38,6 +38,7 @@
   std::optional<Reason> Barred(const TargetId&, absl::Time) const override {
     return std::nullopt;
   }
+  bool ListConfirmed(absl::Time) const override { return true; }
   bool MayDispatch(absl::Time) const override { return dispatches; }
 
   manifest::Manifest held_manifest;
