Daemon: deadlines by monotonic time; links forget peers that are gone

A step of the wall clock could have cut requests short. A TLS handshake now has the idle timeout, so that silent connections free their thread sooner.

--- a/packages/daemon/src/caller_server.cc
+++ b/packages/daemon/src/caller_server.cc
@@ -5,10 +5,10 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 #include "caller_json.h"
 #include "http_server.h"
 #include "in_flight.h"
+#include "transport.h"
 
 namespace umbertrail::daemon {
 namespace {
@@ -309,13 +309,13 @@
     size_t limit,
     Caller* caller,
     httplib::Response* res) {
-  const absl::Time begun = absl::Now();
+  const absl::Time begun = detail::MonotonicNow();
   Filtered<std::string> body = ReadBody(req, reader, limit);
   if (const auto* refusal = std::get_if<Refusal>(&body)) {
     AnswerUnread(*refusal, caller->caller_id, res);
     return std::nullopt;
   }
-  caller->time_limit -= absl::Now() - begun;
+  caller->time_limit -= detail::MonotonicNow() - begun;
   if (caller->time_limit <= absl::ZeroDuration()) {
     Answer(NotRun(core::Reason::kDeadlineExceeded,
                   "the deadline passed while the body arrived"),
--- a/packages/daemon/src/http_server.cc
+++ b/packages/daemon/src/http_server.cc
@@ -71,7 +71,7 @@
   void BeginRequest() {
     in_head_ = true;
     head_bytes_ = 0;
-    read_deadline_ = absl::Now() + options_.read_timeout;
+    read_deadline_ = MonotonicNow() + options_.read_timeout;
   }
   // The head has been read whole.
   void EndHead() { in_head_ = false; }
@@ -81,7 +81,7 @@
   bool is_readable() const override { return true; }
   bool is_writable() const override {
     return !IsGone(fd_) &&
-           AwaitSocket(fd_, POLLOUT, absl::Now() + options_.write_timeout);
+           AwaitSocket(fd_, POLLOUT, MonotonicNow() + options_.write_timeout);
   }
   ssize_t read(char* ptr, size_t size) override {
     if (in_head_ && head_bytes_ >= options_.header_bytes) {
@@ -99,7 +99,8 @@
     return static_cast<ssize_t>(n);
   }
   ssize_t write(const char* ptr, size_t size) override {
-    return transport_->Write(ptr, size, absl::Now() + options_.write_timeout);
+    return transport_->Write(ptr, size,
+                             MonotonicNow() + options_.write_timeout);
   }
   void get_remote_ip_and_port(std::string& ip, int& port) const override {
     sockaddr_storage storage{};
@@ -263,7 +264,7 @@
   std::unique_ptr<Transport> transport =
       tls_ == nullptr
           ? MakePlainTransport(sock)
-          : AcceptTls(tls_.get(), sock, absl::Now() + options_.read_timeout);
+          : AcceptTls(tls_.get(), sock, MonotonicNow() + options_.idle_timeout);
   if (transport == nullptr) {
     return;
   }
@@ -290,7 +291,7 @@
 
 void HttpServer::Linger(socket_t sock) {
   shutdown(sock, SHUT_WR);
-  const absl::Time deadline = absl::Now() + kLinger;
+  const absl::Time deadline = MonotonicNow() + kLinger;
   const std::unique_ptr<Transport> transport = MakePlainTransport(sock);
   std::array<char, kReadBufferBytes> buf;
   for (size_t dropped = 0; dropped < kLingerBytes;) {
@@ -307,9 +308,9 @@
   if (transport.HasBuffered()) {
     return true;
   }
-  const absl::Time deadline = absl::Now() + options_.idle_timeout;
-  while (!ending_ && absl::Now() < deadline) {
-    if (AwaitSocket(sock, POLLIN, absl::Now() + kIdleSlice)) {
+  const absl::Time deadline = MonotonicNow() + options_.idle_timeout;
+  while (!ending_ && MonotonicNow() < deadline) {
+    if (AwaitSocket(sock, POLLIN, MonotonicNow() + kIdleSlice)) {
       return true;
     }
   }
--- a/packages/daemon/src/in_flight.cc
+++ b/packages/daemon/src/in_flight.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "absl/time/clock.h"
 #include "transport.h"
 #include "umbertrail/core/invariant.h"
 
@@ -24,7 +23,7 @@
       channel_(std::move(channel)),
       parts_(parts),
       socket_(socket),
-      deadline_(absl::Now() + caller.time_limit + kNodeMargin) {}
+      deadline_(MonotonicNow() + caller.time_limit + kNodeMargin) {}
 
 InFlight::~InFlight() {
   parts_->table->Close(caller_.id);
@@ -55,7 +54,7 @@
     if (IsGone(socket_)) {
       return Lost::kCallerGone;
     }
-    if (absl::Now() > deadline_) {
+    if (MonotonicNow() > deadline_) {
       return Lost::kNodeSilent;
     }
   }
--- a/packages/daemon/src/transport.cc
+++ b/packages/daemon/src/transport.cc
@@ -5,12 +5,12 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <ctime>
 #include <utility>
 
 #include <openssl/err.h>
 
 #include "absl/strings/str_cat.h"
-#include "absl/time/clock.h"
 
 namespace umbertrail::daemon::detail {
 namespace {
@@ -100,6 +100,12 @@
 
 }  // namespace
 
+absl::Time MonotonicNow() {
+  timespec now{};
+  clock_gettime(CLOCK_MONOTONIC, &now);
+  return absl::TimeFromTimespec(now);
+}
+
 std::unique_ptr<Transport> MakePlainTransport(int fd) {
   return std::make_unique<PlainTransport>(fd);
 }
@@ -138,7 +144,7 @@
 bool AwaitSocket(int fd, short events, absl::Time deadline) {
   while (true) {
     const int64_t left = absl::ToInt64Milliseconds(
-        absl::Ceil(deadline - absl::Now(), absl::Milliseconds(1)));
+        absl::Ceil(deadline - MonotonicNow(), absl::Milliseconds(1)));
     if (left <= 0) {
       return false;
     }
--- a/packages/daemon/src/transport.h
+++ b/packages/daemon/src/transport.h
@@ -14,9 +14,13 @@
 
 namespace umbertrail::daemon::detail {
 
+// Monotonic time, the clock of every deadline here: a step of the wall clock
+// must neither cut a request short nor prolong it.
+absl::Time MonotonicNow();
+
 // Bytes over one non-blocking socket, plain or under TLS. Both calls wait at
-// most until `deadline` (of absl::Now()) and return the bytes moved, 0 at the
-// end of the stream, or -1 on a fault or when the time is over.
+// most until `deadline` (of MonotonicNow()) and return the bytes moved, 0 at
+// the end of the stream, or -1 on a fault or when the time is over.
 class Transport {
  public:
   virtual ~Transport() = default;
--- a/packages/peer/src/peer_links.cc
+++ b/packages/peer/src/peer_links.cc
@@ -121,6 +121,7 @@
   bool WriteTo(Link* link);
   void Sweep();
   std::optional<LinkChange> Overdue(const Link& link, absl::Time now) const;
+  void ForgetQuietPeers(absl::Time now);
   void Close(uint64_t number, LinkChange why);
   void FailOutbox(const InstanceId& peer);
   void BackOff(Outbox* outbox);
@@ -590,6 +591,18 @@
   for (const auto& [number, why] : overdue) {
     Close(number, why);
   }
+  ForgetQuietPeers(now);
+}
+
+// Instances come and go; what is kept of one that isn't sent to any more goes
+// once its back-off is over.
+void PeerLinks::Impl::ForgetQuietPeers(absl::Time now) {
+  const absl::Duration keep = config_.limits.backoff_last;
+  absl::erase_if(outboxes_, [&](const auto& it) {
+    const Outbox& outbox = it.second;
+    return outbox.link == 0 && outbox.messages.empty() &&
+           now > outbox.retry_at + keep;
+  });
 }
 
 std::optional<LinkChange> PeerLinks::Impl::Overdue(const Link& link,
