--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,9 @@
 SEEDS ?= 10000
 soak: build
 	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
+
+capacity: build
+	@tools/capacity/run.sh $(BUILD)
+
+measure: build
+	@$(BUILD)/tools/measure_routing
--- a/packages/core/include/umbertrail/core/owner/target_owner.h
+++ b/packages/core/include/umbertrail/core/owner/target_owner.h
@@ -155,6 +155,7 @@
   void RefreshLimits();
 
   Tokens Allowed() const;
+  Tokens PendingPrefill(absl::Time now, LengthClass length) const;
   TargetRoom RoomAt(absl::Time now) const;
   bool IsService() const;
   LengthClass ClassOfPrompt(Tokens prompt) const;
@@ -185,6 +186,7 @@
   int failed_polls_ = 0;
   absl::Time next_poll_ = absl::InfinitePast();
   absl::Time owned_at_ = absl::InfinitePast();
+  absl::Time handed_over_at_ = absl::InfinitePast();
   absl::Time next_dispatch_ = absl::InfiniteFuture();
   absl::Time asked_holders_at_ = absl::InfinitePast();
   // Fading means over attempts that ended well: time on the target, and output
--- a/packages/core/src/node.cc
+++ b/packages/core/src/node.cc
@@ -18,8 +18,9 @@
                              RandomSource* random,
                              TicketDesk* tickets,
                              RedemptionArchive* archive,
+                             const ScreenHome* screen,
                              const Mutations* mutations) {
-  return {fleet, placement, random, tickets, archive, mutations};
+  return {fleet, placement, random, tickets, archive, screen, mutations};
 }
 
 }  // namespace
@@ -46,6 +47,7 @@
                       random,
                       &tickets_,
                       &archive_,
+                      &screen_home_,
                       &config_.mutations)) {}
 
 Actions Node::Impl::Handle(absl::Time now, Event event) {
@@ -64,11 +66,16 @@
 }
 
 void Node::Impl::TickParts(absl::Time now, Actions* actions) {
-  fleet_.OnTick(now, actions);
+  // Both walk the whole fleet, so they run at their times, not at each event.
+  if (now >= fleet_.NextWakeup()) {
+    fleet_.OnTick(now, actions);
+  }
   TellFleetChange(now, actions);
   flow_.OnTick(now, actions);
   owners_.OnTick(now, actions);
-  orders_.OnTick(now, actions);
+  if (now >= orders_.NextWakeup()) {
+    orders_.OnTick(now, actions);
+  }
   if (now < next_sweep_) {
     return;
   }
--- a/packages/core/src/owner/target_owner.cc
+++ b/packages/core/src/owner/target_owner.cc
@@ -30,6 +30,8 @@
 // A ledger is handed over while reports are at most this old: an older one
 // means that this process slept.
 constexpr absl::Duration kHandoverReportAge = absl::Seconds(15);
+// A former owner's view of a target is as good as an own one this long.
+constexpr absl::Duration kHandoverHolds = absl::Seconds(2);
 // Requests whose suspensions are counted.
 constexpr size_t kMaxSuspensionCounts = 4096;
 // A long prompt with less time than this left is not suspended.
@@ -222,8 +224,8 @@
   charge.output = work.request.max_output;
   charge.suspect = work.request.suspect;
   charge.prefill = work.prefill;
-  charge.prefill_with_ahead =
-      ledger_.PendingPrefill(now, work.length) + work.prefill;
+  charge.prefill_with_ahead = PendingPrefill(now, work.length) + work.prefill;
+  charge.beside_long = ledger_.Prefilling(LengthClass::kLong) > 0;
   charge.granted_at = now;
   charge.first_token_at = now + rates_.FirstToken(charge.prefill_with_ahead);
   charge.heard_at = now;
@@ -275,12 +277,14 @@
   estimate.charge = demand.prompt + demand.output;
   estimate.prefill = std::max(demand.prompt - demand.matched, Tokens(0));
   estimate.prefill_with_ahead = estimate.prefill +
-                                ledger_.PendingPrefill(now, estimate.length) +
+                                PendingPrefill(now, estimate.length) +
                                 queue_.WaitingPrefill(estimate.length);
   estimate.wait = WaitForMemory(estimate.charge, estimate.length);
   const Tokens output(static_cast<int64_t>(
       output_share_ * static_cast<double>(demand.output.value())));
-  const absl::Duration decode = rates_.Decode(output, ledger_.running() + 1);
+  const absl::Duration decode =
+      rates_.Decode(output, ledger_.running() + 1,
+                    ledger_.Prefilling(LengthClass::kLong) > 0);
   estimate.first_token =
       estimate.wait + rates_.FirstToken(estimate.prefill_with_ahead);
   estimate.finish = estimate.first_token + decode;
@@ -475,7 +479,10 @@
     return;
   }
   Learn(*charge, settled);
-  if (CameFarTooLate(*charge, settled.first_token)) {
+  // A stream breaks before any report can tell that its target restarted; a
+  // report taken later clears the suspicion.
+  const bool broken = settled.result == AttemptResult::kBroken && !IsService();
+  if (broken || CameFarTooLate(*charge, settled.first_token)) {
     budget_.OnSuspectedRestart(now);
   }
   const bool exported = settled.result == AttemptResult::kSuspended;
@@ -486,8 +493,7 @@
     suspensions_.erase(settled.request);
   }
   // A broken stream may still run on the engine, which a cold one can't bear.
-  const bool may_run = settled.result == AttemptResult::kBroken;
-  if (may_run && budget_.cold() && !IsService()) {
+  if (broken) {
     charge->state = ChargeState::kSilent;
     charge->heard_at = now;
   } else {
@@ -530,6 +536,7 @@
   RateSample sample;
   sample.prefill = charge.prefill_with_ahead;
   sample.batch = ledger_.running();
+  sample.beside_long = charge.beside_long;
   sample.first_token = settled.first_token;
   sample.total = settled.total;
   sample.generated = settled.generated;
@@ -597,6 +604,7 @@
 
 void TargetOwner::OnHandover(absl::Time now, const OwnerHandover& handover) {
   owned_at_ = now;
+  handed_over_at_ = now;
   budget_.OnHandover(handover.boot, handover.cold, handover.budget);
   if (budget_.boot() != handover.boot) {
     return;
@@ -648,7 +656,14 @@
 
 void TargetOwner::RefreshClaim(absl::Time now, Actions* actions) {
   const bool whole = gate_.whole();
+  const OwnerClaim former = gate_.claim();
   gate_.OnClaim(now, context_.fleet->ClaimOf(target_, now));
+  const bool gained =
+      former == OwnerClaim::kNone && gate_.claim() != OwnerClaim::kNone;
+  if (gained && now - handed_over_at_ > kHandoverHolds) {
+    // It may have restarted while nobody here watched it.
+    budget_.OnSuspectedRestart(now);
+  }
   if (gate_.claim() != OwnerClaim::kNone) {
     owned_at_ = now;
   }
@@ -877,6 +892,10 @@
                        foreign_);
 }
 
+Tokens TargetOwner::PendingPrefill(absl::Time now, LengthClass length) const {
+  return ledger_.PendingPrefill(now, length, rates_.Prefill(Tokens(1)));
+}
+
 TargetRoom TargetOwner::RoomAt(absl::Time now) const {
   TargetRoom room;
   room.now = now;
@@ -886,10 +905,9 @@
   for (const LengthClass length : kClasses) {
     const auto i = static_cast<size_t>(length);
     room.charged_by_class[i] = ledger_.charged(length);
-    room.prefilling[i] = ledger_.Prefilling(now, length);
+    room.prefilling[i] = ledger_.Prefilling(length);
   }
-  room.short_backlog =
-      rates_.Prefill(ledger_.PendingPrefill(now, LengthClass::kShort));
+  room.short_backlog = rates_.Prefill(PendingPrefill(now, LengthClass::kShort));
   return room;
 }
 
--- a/tests/core/owner_rates_test.cc
+++ b/tests/core/owner_rates_test.cc
@@ -21,15 +21,16 @@
   auto random = MakeSeededRandom(3);
   for (int i = 0; i < 300; ++i) {
     const int64_t prompt = i % 50 == 0 ? 400000 : 1000;
-    rates.Learn(SampleAt(
-        4000.0, prompt + static_cast<int64_t>(random->Below(3000))));
+    rates.Learn(
+        SampleAt(4000.0, prompt + static_cast<int64_t>(random->Below(3000))));
   }
   const double at_short = absl::ToDoubleSeconds(rates.FirstToken(Tokens(2000)));
   const double at_long =
       absl::ToDoubleSeconds(rates.FirstToken(Tokens(400000)));
   CHECK(at_short == Approx(0.55).epsilon(0.1));
   CHECK(at_long == Approx(100.05).epsilon(0.1));
-  const double decode = absl::ToDoubleSeconds(rates.Decode(Tokens(100), 4));
+  const double decode =
+      absl::ToDoubleSeconds(rates.Decode(Tokens(100), 4, false));
   CHECK(decode == Approx(3.0).epsilon(0.1));
 }
 
@@ -46,7 +47,8 @@
 }
 
 TEST_CASE("a first token is far over only by factor and by time") {
-  CHECK_FALSE(RatePredictor::FarOver(absl::Milliseconds(100), absl::Seconds(1)));
+  CHECK_FALSE(
+      RatePredictor::FarOver(absl::Milliseconds(100), absl::Seconds(1)));
   CHECK_FALSE(RatePredictor::FarOver(absl::Seconds(10), absl::Seconds(30)));
   CHECK(RatePredictor::FarOver(absl::Milliseconds(500), absl::Seconds(3)));
 }
