--- a/tools/capacity/fleet_measures.h
+++ b/tools/capacity/fleet_measures.h
@@ -13,7 +13,7 @@
   double ranking_us = 0;
   double claim_us = 0;
   double barred_us = 0;
-  
+
   double wanted_state_us = 0;
   double parse_us = 0;  // a whole manifest
 };
