--- a/tools/capacity/fleet_capacity_main.cc
+++ b/tools/capacity/fleet_capacity_main.cc
@@ -23,7 +23,10 @@
 
 constexpr double kChangesPerDay = 2700;
 constexpr double kListChangesPerDay = 900;  // leaving, gone and back, 300 times
-constexpr int kChanges = 2;
+// Revisions published in a run; large fleets take long to work out.
+constexpr int kChanges = 4;
+constexpr int kChangesInLarge = 1;
+constexpr int kLargeFrom = 100;
 
 ordered_json Describe(const FleetSize& size) {
   return {{"regions", size.regions},     {"data_centres", size.data_centres},
@@ -74,7 +77,9 @@
   for (const FleetSize& size : kSizes) {
     ordered_json costs = Describe(MeasureDecisions(size));
 
-    costs.update(Describe(MeasureTraffic(size, kChanges,
+    const int changes =
+        size.instances < kLargeFrom ? kChanges : kChangesInLarge;
+    costs.update(Describe(MeasureTraffic(size, changes,
                                          absl::Seconds(86400 / kChangesPerDay),
                                          kListChangesPerDay)));
     points.push_back({{"size", Describe(size)}, {"costs", costs}});
