--- a/packages/core/owner.cmake
+++ b/packages/core/owner.cmake
@@ -7,5 +7,7 @@
   src/owner/prefix_index.cc
   src/owner/rate_predictor.cc
   src/owner/target_owner.cc
+  src/owner/target_owner_admission.cc
+  src/owner/target_owner_turns.cc
   src/owner/target_queue.cc
   src/owner/warmup_budget.cc)
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -14,6 +14,9 @@
 constexpr absl::Duration kFirstTokenAim = absl::Milliseconds(250);
 // No request may take longer.
 constexpr absl::Duration kLongestTime = absl::Hours(24);
+// Long prompts gather on few targets while these finish them within this part
+// of their time; a larger share of it makes reviews wait for one another.
+constexpr int kGatherPart = 16;
 constexpr absl::Duration kOverloadRetry = absl::Seconds(1);
 constexpr absl::Duration kNoTargetRetry = absl::Seconds(2);
 constexpr absl::Duration kUnfreshPause = absl::Milliseconds(50);
@@ -434,7 +437,7 @@
     // Long prompts gather on the same few targets while these have time, so
     // that short ones find the others free.
     const uint64_t rank = StableHash(it.target.text(), model);
-    if (is_long && it.reply->finish <= left / 2 && rank >= gathered_rank) {
+    if (is_long && it.reply->finish <= left / kGatherPart && rank >= gathered_rank) {
       gathered_rank = rank;
       gathered = &it;
     }
--- a/tests/core/owner_allocations_test.cc
+++ b/tests/core/owner_allocations_test.cc
@@ -41,7 +41,7 @@
 
 TEST_CASE("a holder that vanished from the list is freed within a minute") {
   OwnerBench bench;
-  bench.fleet.instances_ = {{InstanceId("self"), DataCentreId("a"), false}};
+  bench.fleet.instance_list = {{InstanceId("self"), DataCentreId("a"), false}};
   bench.Open(TargetState::kWarm);
   bool freed = false;
   for (int i = 0; i < 60 && !freed; ++i) {
@@ -54,7 +54,7 @@
 
 TEST_CASE("a listed but silent holder keeps its memory") {
   OwnerBench bench;
-  bench.fleet.instances_ = {{InstanceId("self"), DataCentreId("a"), false},
+  bench.fleet.instance_list = {{InstanceId("self"), DataCentreId("a"), false},
                             {InstanceId("r2"), DataCentreId("b"), false}};
   bench.Open(TargetState::kWarm);
   for (int i = 0; i < 300; ++i) {
@@ -66,8 +66,8 @@
 
 TEST_CASE("an unconfirmed list frees nothing by absence") {
   OwnerBench bench;
-  bench.fleet.claim_ = OwnerClaim::kHalf;
-  bench.fleet.instances_ = {{InstanceId("self"), DataCentreId("a"), false}};
+  bench.fleet.claim = OwnerClaim::kHalf;
+  bench.fleet.instance_list = {{InstanceId("self"), DataCentreId("a"), false}};
   bench.Open(TargetState::kWarm);
   for (int i = 0; i < 120; ++i) {
     bench.Report(Holding(Peer("r2"), "x"));
--- a/tests/core/owner_fakes.h
+++ b/tests/core/owner_fakes.h
@@ -15,18 +15,18 @@
 class FakeFleet : public FleetView {
  public:
   FakeFleet() {
-    manifest_.engine_classes.push_back(
+    declared.engine_classes.push_back(
         {"small", false, Tokens(100000), Tokens(10001)});
-    targets_.push_back({TargetId("e1"), TargetKind::kEngine, "10.1.0.1:80",
+    target_list.push_back({TargetId("e1"), TargetKind::kEngine, "10.1.0.1:80",
                         DataCentreId("a"), ServiceId(), "small", false});
-    targets_.push_back({TargetId("s1"), TargetKind::kService, "10.1.0.2:80",
+    target_list.push_back({TargetId("s1"), TargetKind::kService, "10.1.0.2:80",
                         DataCentreId("a"), ServiceId("desk"), "", false});
   }
 
-  const manifest::Manifest* manifest() const override { return &manifest_; }
-  const std::vector<TargetInfo>& targets() const override { return targets_; }
+  const manifest::Manifest* manifest() const override { return &declared; }
+  const std::vector<TargetInfo>& targets() const override { return target_list; }
   const TargetInfo* FindTarget(const TargetId& id) const override {
-    for (const TargetInfo& it : targets_) {
+    for (const TargetInfo& it : target_list) {
       if (it.id == id) {
         return &it;
       }
@@ -34,26 +34,26 @@
     return nullptr;
   }
   const std::vector<InstanceInfo>& instances() const override {
-    return instances_;
+    return instance_list;
   }
   std::vector<InstanceId> Ranking(const TargetId&) const override {
-    return ranking_;
+    return ranking;
   }
   OwnerClaim ClaimOf(const TargetId&, absl::Time) const override {
-    return claim_;
+    return claim;
   }
   std::optional<Reason> Barred(const TargetId&, absl::Time) const override {
-    return barred_;
+    return barred;
   }
-  bool MayDispatch(absl::Time) const override { return fresh_; }
+  bool MayDispatch(absl::Time) const override { return fresh; }
 
-  OwnerClaim claim_ = OwnerClaim::kFull;
-  std::optional<Reason> barred_;
-  bool fresh_ = true;
-  std::vector<InstanceId> ranking_;
-  std::vector<InstanceInfo> instances_;
-  std::vector<TargetInfo> targets_;
-  manifest::Manifest manifest_;
+  OwnerClaim claim = OwnerClaim::kFull;
+  std::optional<Reason> barred;
+  bool fresh = true;
+  std::vector<InstanceId> ranking;
+  std::vector<InstanceInfo> instance_list;
+  std::vector<TargetInfo> target_list;
+  manifest::Manifest declared;
 };
 
 // One owner before one engine, driven by hand.
--- a/tests/core/owner_random_test.cc
+++ b/tests/core/owner_random_test.cc
@@ -15,7 +15,7 @@
 class RandomRun {
  public:
   explicit RandomRun(uint64_t seed) : random_(MakeSeededRandom(seed)) {
-    bench_.fleet.ranking_ = {InstanceId("next")};
+    bench_.fleet.ranking = {InstanceId("next")};
   }
 
   void Run() {
@@ -33,7 +33,7 @@
     bench_.now += absl::Milliseconds(random_->Below(200));
     switch (random_->Below(16)) {
       case 0:
-        bench_.fleet.claim_ = static_cast<OwnerClaim>(random_->Below(4));
+        bench_.fleet.claim = static_cast<OwnerClaim>(random_->Below(4));
         return;
       case 1:
         bench_.Report(RandomReport());
@@ -44,7 +44,7 @@
                                     &bench_.actions);
         return;
       case 3:
-        bench_.fleet.barred_ = random_->Below(3) == 0
+        bench_.fleet.barred = random_->Below(3) == 0
                                    ? std::optional<Reason>(Reason::kNoTarget)
                                    : std::nullopt;
         return;
@@ -162,7 +162,7 @@
         bench_.Settle(id);
       }
     }
-    bench_.fleet.claim_ = OwnerClaim::kFull;
+    bench_.fleet.claim = OwnerClaim::kFull;
     bench_.Pass(absl::Seconds(10));
     bench_.Report(TargetState::kWarm);
     CHECK(bench_.table->Idle());
--- a/tests/core/owner_table_test.cc
+++ b/tests/core/owner_table_test.cc
@@ -78,7 +78,7 @@
   OwnerBench two;
   Tokens granted;
   for (OwnerBench* bench : {&one, &two}) {
-    bench->fleet.claim_ = OwnerClaim::kHalf;
+    bench->fleet.claim = OwnerClaim::kHalf;
     bench->Open(TargetState::kCold);
     for (int i = 0; i < 20; ++i) {
       bench->Pass(absl::Milliseconds(200));  // lets the prefill before end
@@ -108,11 +108,11 @@
 
 TEST_CASE("an owner whose claim is lost refuses and hands its ledger over") {
   OwnerBench bench;
-  bench.fleet.ranking_ = {InstanceId("next"), InstanceId("self")};
+  bench.fleet.ranking = {InstanceId("next"), InstanceId("self")};
   bench.Open(TargetState::kCold);
   bench.Admit("a", 6000);
   bench.Admit("b", 6000);
-  bench.fleet.claim_ = OwnerClaim::kNone;
+  bench.fleet.claim = OwnerClaim::kNone;
   bench.table->OnFleetChanged(bench.now, &bench.actions);
   REQUIRE(bench.Sent<OwnerHandover>().size() == 1);
   CHECK(bench.Sent<OwnerHandover>()[0].entries.size() == 1);
@@ -121,7 +121,7 @@
   CHECK(bench.Admit("c", 10).decision == AdmitDecision::kRefused);
 
   OwnerBench next;
-  next.fleet.claim_ = OwnerClaim::kSettling;
+  next.fleet.claim = OwnerClaim::kSettling;
   next.table->OnHandover(next.now, OwnerBench::Peer("self"),
                          bench.Sent<OwnerHandover>()[0]);
   CHECK(next.Admit("c", 4000).decision == AdmitDecision::kGranted);
@@ -130,10 +130,10 @@
 
 TEST_CASE("an owner that slept does not vouch for its ledger") {
   OwnerBench bench;
-  bench.fleet.ranking_ = {InstanceId("next")};
+  bench.fleet.ranking = {InstanceId("next")};
   bench.Open(TargetState::kCold);
   bench.now += absl::Minutes(10);
-  bench.fleet.claim_ = OwnerClaim::kNone;
+  bench.fleet.claim = OwnerClaim::kNone;
   bench.table->OnFleetChanged(bench.now, &bench.actions);
   CHECK(bench.Sent<OwnerHandover>().empty());
 }
@@ -198,7 +198,7 @@
   bench.Open(TargetState::kCold);
   bench.Admit("a", 6000);
   bench.Admit("b", 6000);
-  bench.fleet.barred_ = Reason::kNoTarget;
+  bench.fleet.barred = Reason::kNoTarget;
   CHECK(bench.Admit("c", 10).decision == AdmitDecision::kRefused);
   bench.Tick();
   REQUIRE(bench.Sent<AdmitReply>().size() == 1);
@@ -219,7 +219,7 @@
 TEST_CASE("an instance that is not fresh grants nothing") {
   OwnerBench bench;
   bench.Open(TargetState::kWarm);
-  bench.fleet.fresh_ = false;
+  bench.fleet.fresh = false;
   CHECK(bench.Admit("a", 10).reason == Reason::kNotFresh);
 }
 
@@ -278,7 +278,7 @@
   OwnerConfig config;
   config.max_suspensions = 1;
   OwnerBench bench(config);
-  bench.fleet.manifest_.engine_classes[0].memory = Tokens(1000000);
+  bench.fleet.declared.engine_classes[0].memory = Tokens(1000000);
   bench.Open(TargetState::kWarm);
   TargetReport report;
   report.state = TargetState::kWarm;
@@ -296,7 +296,7 @@
 
 TEST_CASE("a stopping owner hands over and refuses what waits") {
   OwnerBench bench;
-  bench.fleet.ranking_ = {InstanceId("self"), InstanceId("next")};
+  bench.fleet.ranking = {InstanceId("self"), InstanceId("next")};
   bench.Open(TargetState::kCold);
   bench.Admit("a", 6000);
   bench.Admit("b", 6000);
--- a/tools/measure/owner_routing.cc
+++ b/tools/measure/owner_routing.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kHeartbeat = absl::Seconds(1);
 // First tokens sooner than this are as good as one another.
 constexpr absl::Duration kFirstTokenAim = absl::Milliseconds(250);
+// Long prompts gather on few targets while these finish them within this part
+// of their time; a larger share of it makes reviews wait for one another.
+constexpr int kGatherPart = 16;
 // A refused request asks again after this while it has time.
 constexpr absl::Duration kAskAgain = absl::Milliseconds(500);
 
@@ -117,7 +120,7 @@
       if (!reply.can_serve) {
         continue;
       }
-      if (is_long && reply.finish <= probe.time_left / 2) {
+      if (is_long && reply.finish <= probe.time_left / kGatherPart) {
         return target;
       }
       const absl::Duration cost = CostOf(reply, is_long);
--- a/tools/measure/routing_main.cc
+++ b/tools/measure/routing_main.cc
@@ -44,6 +44,7 @@
   std::vector<double> short_totals;
   std::vector<double> short_first_tokens;
   std::vector<double> first_tokens;  // of prompts under 8 k
+  std::vector<double> long_totals;
   int longs = 0;
   int longs_finished = 0;
   int others = 0;
@@ -92,6 +93,9 @@
         result.finished ? absl::ToDoubleSeconds(result.total) : limit;
     const double first =
         result.finished ? absl::ToDoubleSeconds(result.first_token) : limit;
+    if (is_long) {
+      figures->long_totals.push_back(total);
+    }
     if (job.prompt < kShortBelow) {
       figures->short_totals.push_back(total);
       figures->short_first_tokens.push_back(first);
@@ -127,8 +131,8 @@
 void MeasurePolicies(nlohmann::json* out, std::ostream* page) {
   *page << "| policy | short alone p50 / p99 s | short mixed p50 / p99 s | "
            "slowdown p50 | slowdown p99 | first token p50 / p95 s | "
-           "long finished | others finished |\n"
-           "|---|---|---|---|---|---|---|---|\n";
+           "long p50 / p99 s | long finished | others finished |\n"
+           "|---|---|---|---|---|---|---|---|---|\n";
   for (const Policy& policy : Policies()) {
     const Figures mixed = Run(policy, kLongShare, kMediumShare);
     const Figures alone = Run(policy, 0, 0);
@@ -148,20 +152,24 @@
     row["first_token_p95_s"] = Percentile(mixed.first_tokens, 0.95);
     row["first_token_alone_p95_s"] = Percentile(alone.first_tokens, 0.95);
     row["long_finished"] = Ratio(mixed.longs_finished, mixed.longs);
+    row["long_total_p50_s"] = Percentile(mixed.long_totals, 0.5);
+    row["long_total_p99_s"] = Percentile(mixed.long_totals, 0.99);
     row["others_finished"] = Ratio(mixed.others_finished, mixed.others);
     char line[256];
-    std::snprintf(
-        line, sizeof(line),
-        "| %s | %.2f / %.2f | %.2f / %.2f | %.2f | %.2f | %.3f / %.3f | %.3f "
-        "| %.4f |\n",
-        policy.name.c_str(), Percentile(alone.short_totals, 0.5),
-        Percentile(alone.short_totals, 0.99),
-        Percentile(mixed.short_totals, 0.5),
-        Percentile(mixed.short_totals, 0.99), slowdown(0.5), slowdown(0.99),
-        Percentile(mixed.first_tokens, 0.5),
-        Percentile(mixed.first_tokens, 0.95),
-        Ratio(mixed.longs_finished, mixed.longs),
-        Ratio(mixed.others_finished, mixed.others));
+    std::snprintf(line, sizeof(line),
+                  "| %s | %.2f / %.2f | %.2f / %.2f | %.2f | %.2f | %.3f / "
+                  "%.3f | %.0f / %.0f | "
+                  "%.3f | %.4f |\n",
+                  policy.name.c_str(), Percentile(alone.short_totals, 0.5),
+                  Percentile(alone.short_totals, 0.99),
+                  Percentile(mixed.short_totals, 0.5),
+                  Percentile(mixed.short_totals, 0.99), slowdown(0.5),
+                  slowdown(0.99), Percentile(mixed.first_tokens, 0.5),
+                  Percentile(mixed.first_tokens, 0.95),
+                  Percentile(mixed.long_totals, 0.5),
+                  Percentile(mixed.long_totals, 0.99),
+                  Ratio(mixed.longs_finished, mixed.longs),
+                  Ratio(mixed.others_finished, mixed.others));
     *page << line;
     std::fputs(line, stdout);
     std::fflush(stdout);
