--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -437,7 +437,8 @@
     // Long prompts gather on the same few targets while these have time, so
     // that short ones find the others free.
     const uint64_t rank = StableHash(it.target.text(), model);
-    if (is_long && it.reply->finish <= left / kGatherPart && rank >= gathered_rank) {
+    if (is_long && it.reply->finish <= left / kGatherPart &&
+        rank >= gathered_rank) {
       gathered_rank = rank;
       gathered = &it;
     }
--- a/tests/core/owner_allocations_test.cc
+++ b/tests/core/owner_allocations_test.cc
@@ -55,7 +55,7 @@
 TEST_CASE("a listed but silent holder keeps its memory") {
   OwnerBench bench;
   bench.fleet.instance_list = {{InstanceId("self"), DataCentreId("a"), false},
-                            {InstanceId("r2"), DataCentreId("b"), false}};
+                               {InstanceId("r2"), DataCentreId("b"), false}};
   bench.Open(TargetState::kWarm);
   for (int i = 0; i < 300; ++i) {
     bench.Report(Holding(Peer("r2"), "x"));
--- a/tests/core/owner_fakes.h
+++ b/tests/core/owner_fakes.h
@@ -18,13 +18,15 @@
     declared.engine_classes.push_back(
         {"small", false, Tokens(100000), Tokens(10001)});
     target_list.push_back({TargetId("e1"), TargetKind::kEngine, "10.1.0.1:80",
-                        DataCentreId("a"), ServiceId(), "small", false});
+                           DataCentreId("a"), ServiceId(), "small", false});
     target_list.push_back({TargetId("s1"), TargetKind::kService, "10.1.0.2:80",
-                        DataCentreId("a"), ServiceId("desk"), "", false});
+                           DataCentreId("a"), ServiceId("desk"), "", false});
   }
 
   const manifest::Manifest* manifest() const override { return &declared; }
-  const std::vector<TargetInfo>& targets() const override { return target_list; }
+  const std::vector<TargetInfo>& targets() const override {
+    return target_list;
+  }
   const TargetInfo* FindTarget(const TargetId& id) const override {
     for (const TargetInfo& it : target_list) {
       if (it.id == id) {
--- a/tests/core/owner_random_test.cc
+++ b/tests/core/owner_random_test.cc
@@ -45,8 +45,8 @@
         return;
       case 3:
         bench_.fleet.barred = random_->Below(3) == 0
-                                   ? std::optional<Reason>(Reason::kNoTarget)
-                                   : std::nullopt;
+                                  ? std::optional<Reason>(Reason::kNoTarget)
+                                  : std::nullopt;
         return;
       case 4:
       case 5:
