--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -258,7 +258,7 @@
 pids+=("$load")
 
 sleep 6
-echo "   requests $closed_centre received in 6 s: $(closed_accepted)"
+echo "   requests $closed_centre received so far: $(closed_accepted)"
 echo "   $closed_centre is taken out"
 publish_manifest 2 false
 sleep 4
--- a/tools/demo/workload.cc
+++ b/tools/demo/workload.cc
@@ -114,53 +114,79 @@
   }
 }
 
+// Whether the same ticket may have another answer elsewhere: nothing came back,
+// or the instance was leaving and could not look.
+bool MaySubmitAgain(const FilingResult& result) {
+  switch (result.end) {
+    case TryEnd::kNoAnswer:
+    case TryEnd::kCut:
+      return true;
+    case TryEnd::kRefused:
+      return result.reason == "stopping" && result.ran == "unknown";
+    case TryEnd::kComplete:
+    case TryEnd::kWrong:
+      return false;
+  }
+  return false;
+}
+
+// Submits one ticket until it has its answer: a ticket may be submitted any
+// number of times and runs at most once.
+FilingResult SubmitUntilAnswered(const FilingCall& filing,
+                                 const Account& account,
+                                 const std::string& ticket,
+                                 Chooser& choose) {
+  FilingResult result;
+  for (int n = 0; n < kMaxTries; ++n) {
+    result = Submit(choose.Entry(), account, filing, ticket);
+    if (!MaySubmitAgain(result)) {
+      break;
+    }
+    absl::SleepFor(kRetryPause);
+  }
+  return result;
+}
+
+// Counts the last result of a filing that is not complete.
+void CountUnfinished(const FilingResult& last, FilingTally& counts) {
+  if (last.end != TryEnd::kRefused) {
+    counts.lost = 1;
+    return;
+  }
+  ++counts.reasons[last.reason + ", ran: " + last.ran];
+  (last.ran == "no" ? counts.not_run : counts.in_doubt) = 1;
+}
+
 // One filing; it is sent again under a new ticket only after a definite
 // `ran: no`.
 FilingTally RunFiling(const WorkloadSettings& settings, Chooser& choose) {
   FilingTally counts;
   counts.sent = 1;
-  FilingCall filing{settings.service, settings.call,
-                    absl::StrCat("tally ", choose.random().Next())};
+  const FilingCall filing{settings.service, settings.call,
+                          absl::StrCat("tally ", choose.random().Next())};
   const Account& account = choose.AnyAccount();
-  bool submitted = false;
-  FilingResult result;
+  FilingResult last;
+  last.end = TryEnd::kRefused;
+  last.reason = "no ticket";
+  last.ran = "no";
   for (int n = 0; n < kMaxTries; ++n) {
     const auto ticket = AskTicket(choose.Entry(), account, filing);
-    if (!ticket.has_value()) {
-      absl::SleepFor(kRetryPause);
-      continue;
-    }
-    // A ticket may be submitted any number of times, so no answer means
-    // sending the same one again.
-    submitted = true;
-    for (int m = 0; m < kMaxTries; ++m) {
-      result = Submit(choose.Entry(), account, filing, *ticket);
-      if (result.end == TryEnd::kComplete || result.end == TryEnd::kRefused) {
-        break;
-      }
-      absl::SleepFor(kRetryPause);
+    if (ticket.has_value()) {
+      last = SubmitUntilAnswered(filing, account, *ticket, choose);
     }
-    if (result.end == TryEnd::kComplete) {
+    if (last.end == TryEnd::kComplete) {
       counts.complete = 1;
       if (choose.random().Below(kResendOneIn) == 0) {
-        Resend(filing, account, *ticket, result.answer, choose, counts);
+        Resend(filing, account, *ticket, last.answer, choose, counts);
       }
       return counts;
     }
-    if (result.end != TryEnd::kRefused || result.ran != "no") {
+    if (last.end != TryEnd::kRefused || last.ran != "no") {
       break;
     }
     absl::SleepFor(kRetryPause);
   }
-  if (result.end == TryEnd::kRefused) {
-    ++counts.reasons[result.reason + ", ran: " + result.ran];
-    (result.ran == "no" ? counts.not_run : counts.in_doubt) = 1;
-  } else if (submitted) {
-    counts.lost = 1;
-  } else {
-    counts.not_run = 1;
-    ++counts.reasons["no ticket"];
-  }
+  CountUnfinished(last, counts);
   return counts;
 }
 
