--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -46,7 +46,7 @@
   // Tells deaths to homes that came after them. A death outlives the instances
   // that saw it as long as one that knows of it is there.
   void OnFleetChanged(Actions* actions);
-  // Frees the runs of an incarnation that is over.
+  // An incarnation is over; its open runs count as deaths.
   void OnHolderGone(const InstanceRef& holder);
 
   // Forgets what is older than kMemory. Cost: linear, at most once a minute.
@@ -83,7 +83,10 @@
   uint32_t LimitFor(Fingerprint fingerprint) const;
   ScreenVerdict Judge(const Entry& entry, uint32_t limit) const;
   static void CountDeath(Death death, Entry* entry);
-  void DropExpiredRuns(absl::Time now, Entry* entry) const;
+  // Ends runs of whose end nothing was heard: their holder may have died with
+  // their target, so each counts as a death until the content runs whole.
+  template <typename Predicate>
+  void CloseRuns(Fingerprint fingerprint, Entry* entry, Predicate is_over);
 
   InstanceId self_;
   const FleetView* fleet_;
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -52,7 +52,8 @@
   }
   Entry& entry = found->second;
   entry.touched = now;
-  DropExpiredRuns(now, &entry);
+  CloseRuns(request.fingerprint, &entry,
+            [now](const Run& it) { return it.expires <= now; });
   reply.deaths = static_cast<uint32_t>(entry.deaths.size());
   if (FindRun(entry.runs, from, request.request, request.attempt) !=
       entry.runs.end()) {
@@ -123,11 +124,8 @@
 
 void ScreenHome::OnHolderGone(const InstanceRef& holder) {
   for (auto& [fingerprint, entry] : entries_) {
-    auto& runs = entry.runs;
-    runs.erase(
-        std::remove_if(runs.begin(), runs.end(),
-                       [&](const Run& it) { return it.holder == holder; }),
-        runs.end());
+    CloseRuns(fingerprint, &entry,
+              [&](const Run& it) { return it.holder == holder; });
   }
 }
 
@@ -193,11 +191,18 @@
                               : static_cast<uint32_t>(it->second.deaths.size());
 }
 
-void ScreenHome::DropExpiredRuns(absl::Time now, Entry* entry) const {
+template <typename Predicate>
+void ScreenHome::CloseRuns(Fingerprint fingerprint,
+                           Entry* entry,
+                           Predicate is_over) {
   auto& runs = entry->runs;
-  runs.erase(std::remove_if(runs.begin(), runs.end(),
-                            [&](const Run& it) { return it.expires <= now; }),
-             runs.end());
+  const auto kept = std::stable_partition(
+      runs.begin(), runs.end(), [&](const Run& it) { return !is_over(it); });
+  for (auto it = kept; it != runs.end(); ++it) {
+    CountDeath({it->holder, it->request, it->attempt}, entry);
+    deadly_.insert(fingerprint);
+  }
+  runs.erase(kept, runs.end());
 }
 
 }  // namespace umbertrail::core
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -80,6 +80,7 @@
                   absl::Duration limit,
                   Fingerprint fingerprint);
   void BeginFiling(const Command& command);
+  void AttackFiling();
   void SubmitFiling(const std::string& filing);
   void OnFilingOutcome(const std::string& filing, const core::Outcome& outcome);
 
