--- a/tests/core/owner_table_test.cc
+++ b/tests/core/owner_table_test.cc
@@ -335,6 +335,24 @@
   CHECK(bench.Done<PollTarget>().size() == 20);  // two targets for 10 s
 }
 
+TEST_CASE("a long prompt waits until the one before has its first token") {
+  OwnerBench bench;
+  bench.fleet.declared.engine_classes[0].memory = Tokens(1000000);
+  bench.Pass(absl::Seconds(1));
+  TargetReport report;
+  report.boot = BootId("b1");
+  report.model = ModelId("m");
+  report.memory_total = Tokens(1000000);
+  bench.table->OnReport(bench.now, TargetId("e1"), report, &bench.actions);
+  REQUIRE(bench.Admit("a", 100000).decision == AdmitDecision::kGranted);
+  REQUIRE(bench.Admit("b", 100000).decision == AdmitDecision::kQueued);
+  bench.Pass(absl::Seconds(60));  // far past the predicted first token
+  CHECK(bench.Sent<AdmitReady>().empty());
+  bench.Alive("a");
+  bench.Tick();
+  CHECK(bench.Sent<AdmitReady>().size() == 1);
+}
+
 TEST_CASE("a probe answers what an admission would") {
   OwnerBench bench;
   bench.Open(TargetState::kWarm);
