--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -94,6 +94,11 @@
   return std::nullopt;
 }
 
+bool Fleet::ListConfirmed(absl::Time now) const {
+  return membership_.instances_known() &&
+         now - membership_.instances_read_at() <= config_.list_confirm_limit;
+}
+
 bool Fleet::MayDispatch(absl::Time now) const {
   return store_.manifest() != nullptr &&
          freshness_.MayDispatch(now, ListedOthers() == 0);
@@ -166,7 +171,7 @@
                             const std::optional<InstanceId>& source,
                             Actions* actions) {
   freshness_.OnRevision(store_.revision());
-  ownership_.OnListsChanged(now, store_.manifest());
+  ownership_.OnManifest(now, *store_.manifest());
   exchange_.SetRivals(ownership_.Rivals());
   ++generation_;
   // Passed on at once: a change must not wait for the next exchange.
@@ -198,7 +203,7 @@
 }
 
 void Fleet::ListsChanged(absl::Time now) {
-  ownership_.OnListsChanged(now, store_.manifest());
+  ownership_.OnListsChanged(now);
   MarksChanged(now);
 }
 
