--- a/packages/daemon/include/umbertrail/daemon/core_loop.h
+++ b/packages/daemon/include/umbertrail/daemon/core_loop.h
@@ -2,6 +2,7 @@
 #define UMBERTRAIL_DAEMON_CORE_LOOP_H_
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -82,8 +83,8 @@
   bool stop_complete_ ABSL_GUARDED_BY(mutex_) = false;
 
   std::atomic<bool> ready_{false};
-  // When ready_ was set.
-  std::atomic<absl::Time> ready_seen_{absl::InfinitePast()};
+  // When ready_ was set, in the clock's nanoseconds.
+  std::atomic<int64_t> ready_seen_{0};
   std::atomic<bool> stopping_{false};
 
   // Of the loop's thread alone.
--- a/packages/daemon/src/core_loop.cc
+++ b/packages/daemon/src/core_loop.cc
@@ -39,7 +39,7 @@
 
 bool CoreLoop::ready() const {
   return ready_ && !stopping_ &&
-         clock_->Now() - ready_seen_.load() < kReadyValidity;
+         clock_->Now() - absl::FromUnixNanos(ready_seen_) < kReadyValidity;
 }
 
 std::optional<core::NodeStatus> CoreLoop::Status(absl::Duration limit) {
@@ -156,7 +156,7 @@
 void CoreLoop::NoticeReadiness() {
   const absl::Time now = Now();
   ready_ = node_->Ready(now);
-  ready_seen_ = now;
+  ready_seen_ = absl::ToUnixNanos(now);
 }
 
 }  // namespace umbertrail::daemon
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -46,7 +46,7 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitCutShort = 3;
 // How long one wait for a signal lasts, in nanoseconds.
-constexpr long kSignalWaitNanos = 100 * 1000 * 1000;
+constexpr long kSignalWaitNanos = 100000000;
 
 int ReportFaults(const std::vector<SettingFault>& faults) {
   for (const SettingFault& fault : faults) {
--- a/tests/daemon/admin_server_test.cc
+++ b/tests/daemon/admin_server_test.cc
@@ -21,7 +21,7 @@
   CHECK(client.Get("/readyz")->body == "GET /ready ");
   CHECK(client.Get("/explain?id=7")->body == "GET /explain 7");
   CHECK(client.Post("/log-level?level=debug")->body == "POST /log-level debug");
-  CHECK(client.Get(("/" + std::string(500, 'a')).c_str())->status == 404);
+  CHECK(client.Get("/" + std::string(500, 'a'))->status == 404);
 }
 
 TEST_CASE("an address in use is a fault") {
--- a/tests/daemon/raw_client.h
+++ b/tests/daemon/raw_client.h
@@ -20,7 +20,9 @@
     in.sin_port = htons(static_cast<uint16_t>(
         std::stoi(address.substr(address.rfind(':') + 1))));
     inet_pton(AF_INET, "127.0.0.1", &in.sin_addr);
-    connect(fd_, reinterpret_cast<const sockaddr*>(&in), sizeof(in));
+    if (connect(fd_, reinterpret_cast<const sockaddr*>(&in), sizeof(in)) != 0) {
+      Close();
+    }
     const timeval patience{30, 0};
     setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
   }
