--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 soak: build
 	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
 
+capacity: build
+	@tools/capacity/run.sh $(BUILD)
+
 measure: build
 	@$(BUILD)/tools/measure_routing
--- a/packages/core/include/umbertrail/core/owner/target_owner.h
+++ b/packages/core/include/umbertrail/core/owner/target_owner.h
@@ -121,6 +121,8 @@
   std::optional<Refusal> Unsuitable(const Demand& demand,
                                     const Estimate& estimate) const;
 
+  // Takes back a waiting or offered place; a granted attempt stays.
+  void DropPlace(const AttemptKey& key);
   AdmitReply Claim(absl::Time now, const AttemptKey& key, AdmitReply reply);
   AdmitReply Admit(absl::Time now,
                    const InstanceRef& from,
@@ -155,6 +157,7 @@
   void RefreshLimits();
 
   Tokens Allowed() const;
+  Tokens PendingPrefill(absl::Time now, LengthClass length) const;
   TargetRoom RoomAt(absl::Time now) const;
   bool IsService() const;
   LengthClass ClassOfPrompt(Tokens prompt) const;
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -211,6 +211,7 @@
   void ExcludeAfter(Reason refusal,
                     const TargetId& target,
                     ActiveRequest* r) const;
+  static absl::Duration CostOf(const ProbeReply& reply, bool is_long);
   const ProbeState* BestProbe(absl::Time now, const ActiveRequest& r) const;
   void OnNoCandidate(absl::Time now, ActiveRequest* r, Actions* actions);
   void Hold(absl::Time now, ActiveRequest* r, absl::Duration pause);
@@ -265,6 +266,10 @@
               Actions* actions);
   void ReleaseScreen(ActiveRequest* r, ScreenEnd end, Actions* actions);
   void WakeOne(absl::Time now, ActiveRequest* r, Actions* actions);
+  // Tells the owners that the prompt is computed, so that the next may start.
+  static void TellFirstToken(const ActiveRequest& r,
+                             Tokens generated,
+                             Actions* actions);
   void SendHeartbeats(absl::Time now, Actions* actions);
 
   FlowConfig config_;
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -10,6 +10,13 @@
 namespace umbertrail::core {
 namespace {
 
+// First tokens sooner than this are as good as one another.
+constexpr absl::Duration kFirstTokenAim = absl::Milliseconds(250);
+// No request may take longer.
+constexpr absl::Duration kLongestTime = absl::Hours(24);
+// Long prompts gather on few targets while these finish them within this part
+// of their time; a larger share of it makes reviews wait for one another.
+constexpr int kGatherPart = 16;
 constexpr absl::Duration kOverloadRetry = absl::Seconds(1);
 constexpr absl::Duration kNoTargetRetry = absl::Seconds(2);
 constexpr absl::Duration kUnfreshPause = absl::Milliseconds(50);
@@ -399,6 +406,15 @@
   }
 }
 
+// The least is best. Targets that meet the aim for the first token are ranked
+// by their finish; the others come after them, by their first token.
+absl::Duration RequestFlow::CostOf(const ProbeReply& reply, bool is_long) {
+  if (is_long || reply.first_token <= kFirstTokenAim) {
+    return reply.finish;
+  }
+  return kLongestTime + reply.first_token;
+}
+
 const ProbeState* RequestFlow::BestProbe(absl::Time now,
                                          const ActiveRequest& r) const {
   const absl::Duration left = r.TimeLeft(now);
@@ -413,8 +429,7 @@
     if (!serves || it.reply->finish > left) {
       continue;
     }
-    const absl::Duration cost =
-        is_long ? it.reply->finish : it.reply->first_token;
+    const absl::Duration cost = CostOf(*it.reply, is_long);
     if (cost < best_cost) {
       best_cost = cost;
       best = &it;
@@ -422,7 +437,8 @@
     // Long prompts gather on the same few targets while these have time, so
     // that short ones find the others free.
     const uint64_t rank = StableHash(it.target.text(), model);
-    if (is_long && it.reply->finish <= left / 2 && rank >= gathered_rank) {
+    if (is_long && it.reply->finish <= left / kGatherPart &&
+        rank >= gathered_rank) {
       gathered_rank = rank;
       gathered = &it;
     }
--- a/tests/core/once_key_home_test.cc
+++ b/tests/core/once_key_home_test.cc
@@ -17,9 +17,9 @@
   KeyHome home{self, &fleet, &mutations};
 
   Home() {
-    fleet.instances_ = {{self.id, DataCentreId("a"), false},
-                        {kAsker.id, DataCentreId("a"), false},
-                        {kOther.id, DataCentreId("a"), false}};
+    fleet.instance_list = {{self.id, DataCentreId("a"), false},
+                           {kAsker.id, DataCentreId("a"), false},
+                           {kOther.id, DataCentreId("a"), false}};
     home.OnTick(kStart);
   }
   KeyGrantDecision Ask(absl::Duration after, const InstanceRef& from) {
@@ -44,10 +44,10 @@
 
 TEST_CASE("a home that left the list is young again when it is back") {
   Home it;
-  const auto list = it.fleet.instances_;
-  it.fleet.instances_.erase(it.fleet.instances_.begin());
+  const auto list = it.fleet.instance_list;
+  it.fleet.instance_list.erase(it.fleet.instance_list.begin());
   it.home.OnTick(kStart + KeyHome::kSettle);
-  it.fleet.instances_ = list;
+  it.fleet.instance_list = list;
   it.home.OnTick(kStart + KeyHome::kSettle);
   CHECK(it.Ask(KeyHome::kSettle, kAsker) == KeyGrantDecision::kTooYoung);
 }
