--- a/packages/cli/src/caller.cc
+++ b/packages/cli/src/caller.cc
@@ -19,11 +19,13 @@
 // An instance ends a request at its time; this long it may take to say so.
 constexpr absl::Duration kGrace = absl::Seconds(5);
 
-http::Link MakeLink(const std::string& address, absl::Duration time_limit) {
+template <typename Call>
+http::Link MakeLink(const Call& call) {
   http::LinkSettings settings;
-  settings.address = address;
+  settings.address = call.address;
+  settings.ca_path = call.ca_file;
   settings.connect_timeout = absl::Seconds(2);
-  settings.progress_limit = time_limit + kGrace;
+  settings.progress_limit = call.time_limit + kGrace;
   return http::Link(settings);
 }
 
@@ -92,7 +94,7 @@
     }
     const absl::Time start = absl::Now();
     StreamReader reader(receiver, start);
-    http::Link link = MakeLink(call.address, call.time_limit);
+    http::Link link = MakeLink(call);
     const http::Answer answer = link.Send(
         {"POST", "/v1/completions", http::DumpJson(body), HeadersOf(call)},
         kMaxAnswerBytes,
@@ -114,7 +116,7 @@
     const std::string path =
         absl::StrCat("/v1/services/", call.service, "/", call.call);
     const absl::Time start = absl::Now();
-    http::Link link = MakeLink(call.address, call.time_limit);
+    http::Link link = MakeLink(call);
     return ReadWhole(link.Send({"POST", path, call.body, std::move(headers)},
                                kMaxAnswerBytes),
                      start);
@@ -123,7 +125,7 @@
   CallResult Ticket(const ServiceCall& call) const override {
     const Json body = {{"service", call.service}, {"call", call.call}};
     const absl::Time start = absl::Now();
-    http::Link link = MakeLink(call.address, call.time_limit);
+    http::Link link = MakeLink(call);
     CallResult out = ReadWhole(
         link.Send(
             {"POST", "/v1/tickets", http::DumpJson(body), HeadersOf(call)},
--- a/packages/cli/src/caller.h
+++ b/packages/cli/src/caller.h
@@ -22,6 +22,8 @@
   int64_t prompt_tokens = 0;  // 0: the instance counts
   int64_t max_tokens = 0;
   absl::Duration time_limit;
+  // Certificate authorities; TLS is used when it is set.
+  std::string ca_file;
 };
 
 // A call of a plain service.
@@ -35,6 +37,8 @@
   std::string body;
   std::string ticket;  // may be empty
   absl::Duration time_limit;
+  // Certificate authorities; TLS is used when it is set.
+  std::string ca_file;
 };
 
 // How a call ended, as its caller can tell.
--- a/packages/cli/src/command_line.cc
+++ b/packages/cli/src/command_line.cc
@@ -23,15 +23,15 @@
   umbertrail explain REQUEST ADMIN... [--json]
   umbertrail send ADDRESS --account=ID --key-file=FILE --model=ID
              (--prompt=TEXT | --prompt-file=FILE) [--max-tokens=N]
-             [--request-id=ID] [--time-limit=SECONDS] [--json]
+             [--request-id=ID] [--time-limit=SECONDS] [--ca=FILE] [--json]
   umbertrail send ADDRESS --account=ID --key-file=FILE --service=ID --call=NAME
              [--body-file=FILE] [--once] [--request-id=ID]
-             [--time-limit=SECONDS] [--json]
+             [--time-limit=SECONDS] [--ca=FILE] [--json]
   umbertrail load ADDRESS... --as=ID:FILE... --model=ID [--rate=R]
              [--duration=SECONDS] [--mix=MIX] [--max-tokens=N]
              [--time-limit=SECONDS] [--max-open=N] [--alone=N] [--seed=N]
              [--allow-remote] [--report=FILE] [--compare=FILE] [--plot=FILE]
-             [--json]
+             [--ca=FILE] [--json]
   umbertrail key hash --salt=TEXT --key-file=FILE [--json]
   umbertrail --help
   umbertrail --version
@@ -61,6 +61,8 @@
   --once                Takes a ticket first: the call runs at most once.
   --request-id=ID       Id of the request; made by the instance when absent.
   --time-limit=SECONDS  Time for one request [default: 60].
+  --ca=FILE             Certificate authorities of the instances, in PEM; uses
+                        TLS.
   --rate=R              Requests a second [default: 20].
   --duration=SECONDS    How long requests arrive, 1 to 3600 [default: 10].
   --mix=MIX             PROMPT_TOKENS:WEIGHT,... [default: 1000:80,16000:17,120000:3].
@@ -165,6 +167,7 @@
   out.once = in.Flag("--once");
   out.request_id = in.Text("--request-id");
   out.time_limit = in.Seconds("--time-limit", kMaxTimeLimitSeconds);
+  out.ca_file = in.Text("--ca");
   out.json = in.Flag("--json");
   return in.Finish(out);
 }
@@ -216,6 +219,7 @@
   out.alone = static_cast<int>(in.Integer("--alone", 0, kMaxOpenLimit));
   out.seed = static_cast<uint64_t>(in.Integer("--seed", 0, INT64_MAX));
   out.allow_remote = in.Flag("--allow-remote");
+  out.ca_file = in.Text("--ca");
   out.report_file = in.Text("--report");
   out.compare_file = in.Text("--compare");
   out.plot_file = in.Text("--plot");
--- a/packages/cli/src/command_line.h
+++ b/packages/cli/src/command_line.h
@@ -50,6 +50,7 @@
   bool once = false;
   std::string request_id;
   absl::Duration time_limit;
+  std::string ca_file;
   bool json = false;
 };
 
@@ -72,6 +73,7 @@
   int alone = 0;
   uint64_t seed = 0;
   bool allow_remote = false;
+  std::string ca_file;
   std::string report_file;
   std::string compare_file;
   std::string plot_file;
--- a/packages/cli/src/load_runner.cc
+++ b/packages/cli/src/load_runner.cc
@@ -27,6 +27,7 @@
   out.prompt_tokens = arrival.prompt.value();
   out.max_tokens = command.max_tokens;
   out.time_limit = command.time_limit;
+  out.ca_file = command.ca_file;
   return out;
 }
 
--- a/packages/cli/src/send_command.cc
+++ b/packages/cli/src/send_command.cc
@@ -120,6 +120,7 @@
   call.prompt = ValueOf(std::move(prompt));
   call.max_tokens = command.max_tokens;
   call.time_limit = command.time_limit;
+  call.ca_file = command.ca_file;
   std::string answer;
   const CallResult result = caller.Prompt(call, [&](std::string_view text) {
     answer.append(text);
@@ -166,6 +167,7 @@
   call.call = command.call;
   call.body = ValueOf(std::move(body));
   call.time_limit = command.time_limit;
+  call.ca_file = command.ca_file;
   const CallResult result =
       command.once ? SubmitOnce(call, caller) : caller.Service(call);
   if (!command.json) {
--- a/tests/telemetry/span_exporter_test.cc
+++ b/tests/telemetry/span_exporter_test.cc
@@ -69,6 +69,10 @@
               });
   const int port = server.bind_to_any_port("127.0.0.1");
   std::thread listener([&] { server.listen_after_bind(); });
+  // A stop before the server runs would be lost.
+  while (!server.is_running()) {
+    std::this_thread::yield();
+  }
   {
     SpanExporter exporter(
         "i1", MakeHttpSpanTransport(absl::StrCat("127.0.0.1:", port)), {});
