--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -211,6 +211,7 @@
   void ExcludeAfter(Reason refusal,
                     const TargetId& target,
                     ActiveRequest* r) const;
+  static absl::Duration CostOf(const ProbeReply& reply, bool is_long);
   const ProbeState* BestProbe(absl::Time now, const ActiveRequest& r) const;
   void OnNoCandidate(absl::Time now, ActiveRequest* r, Actions* actions);
   void Hold(absl::Time now, ActiveRequest* r, absl::Duration pause);
--- a/tests/core/fake_fleet.h
+++ b/tests/core/fake_fleet.h
@@ -13,10 +13,12 @@
 // A fleet whose state a test sets outright.
 class FakeFleet : public FleetView {
  public:
-  const manifest::Manifest* manifest() const override { return &manifest_; }
-  const std::vector<TargetInfo>& targets() const override { return targets_; }
+  const manifest::Manifest* manifest() const override { return &declared; }
+  const std::vector<TargetInfo>& targets() const override {
+    return target_list;
+  }
   const TargetInfo* FindTarget(const TargetId& id) const override {
-    for (const TargetInfo& it : targets_) {
+    for (const TargetInfo& it : target_list) {
       if (it.id == id) {
         return &it;
       }
@@ -24,29 +26,30 @@
     return nullptr;
   }
   const std::vector<InstanceInfo>& instances() const override {
-    return instances_;
+    return instance_list;
   }
   std::vector<InstanceId> Ranking(const TargetId& target) const override {
-    const auto it = owners_.find(target);
-    return it == owners_.end() ? std::vector<InstanceId>() : it->second;
+    const auto it = owners.find(target);
+    return it == owners.end() ? std::vector<InstanceId>() : it->second;
   }
   OwnerClaim ClaimOf(const TargetId&, absl::Time) const override {
-    return claim_;
+    return claim;
   }
   std::optional<Reason> Barred(const TargetId& target,
                                absl::Time) const override {
-    return barred_.count(target) == 0 ? std::nullopt
-                                      : std::optional(Reason::kNoTarget);
+    return barred.count(target) == 0 ? std::nullopt
+                                     : std::optional(Reason::kNoTarget);
   }
-  bool MayDispatch(absl::Time) const override { return may_dispatch_; }
+  bool ListConfirmed(absl::Time) const override { return true; }
+  bool MayDispatch(absl::Time) const override { return may_dispatch; }
 
-  manifest::Manifest manifest_;
-  std::vector<TargetInfo> targets_;
-  std::vector<InstanceInfo> instances_;
-  std::map<TargetId, std::vector<InstanceId>> owners_;
-  std::set<TargetId> barred_;
-  OwnerClaim claim_ = OwnerClaim::kFull;
-  bool may_dispatch_ = true;
+  manifest::Manifest declared;
+  std::vector<TargetInfo> target_list;
+  std::vector<InstanceInfo> instance_list;
+  std::map<TargetId, std::vector<InstanceId>> owners;
+  std::set<TargetId> barred;
+  OwnerClaim claim = OwnerClaim::kFull;
+  bool may_dispatch = true;
 };
 
 // Candidates and memory that a test sets outright.
@@ -54,12 +57,12 @@
  public:
   std::vector<TargetId> CandidatesFor(const RequestSpec&,
                                       absl::Time) const override {
-    return candidates_;
+    return candidates;
   }
-  Tokens MemoryOf(const TargetId&) const override { return memory_; }
+  Tokens MemoryOf(const TargetId&) const override { return memory; }
 
-  std::vector<TargetId> candidates_;
-  Tokens memory_;
+  std::vector<TargetId> candidates;
+  Tokens memory;
 };
 
 }  // namespace umbertrail::core
--- a/tests/core/request_screen_home_test.cc
+++ b/tests/core/request_screen_home_test.cc
@@ -16,7 +16,7 @@
   ScreenHome home{InstanceId("10.0.0.1:7000"), &fleet, &mutations};
 
   Home() {
-    fleet.instances_ = {{InstanceId("10.0.0.1:7000"), DataCentreId("a")}};
+    fleet.instance_list = {{InstanceId("10.0.0.1:7000"), DataCentreId("a")}};
   }
 
   ScreenVerdict Ask(const std::string& request) {
@@ -28,7 +28,7 @@
   }
   void End(const std::string& request, ScreenEnd end) {
     home.OnEnded(kStart, kFrom,
-                 {RequestId(request), AttemptNumber(1), kContent, end});
+                 {RequestId(request), AttemptNumber(1), kContent, end, {}});
   }
 };
 
@@ -64,12 +64,31 @@
 
 TEST_CASE("an instance that is no home allows one less") {
   Home it;
-  it.fleet.instances_ = {{InstanceId("10.0.0.7:7000"), DataCentreId("a")},
-                         {InstanceId("10.0.0.8:7000"), DataCentreId("a")}};
+  it.fleet.instance_list = {{InstanceId("10.0.0.7:7000"), DataCentreId("a")},
+                            {InstanceId("10.0.0.8:7000"), DataCentreId("a")}};
   CHECK(it.Ask("a") == ScreenVerdict::kRun);
   CHECK(it.Ask("b") == ScreenVerdict::kWait);
 }
 
+TEST_CASE("deaths are told once to homes that came after them") {
+  Home it;
+  it.Ask("a");
+  it.End("a", ScreenEnd::kDied);
+  it.fleet.instance_list.push_back({kFrom.id, DataCentreId("a")});
+  Actions actions;
+  it.home.OnFleetChanged(&actions);
+  it.home.OnFleetChanged(&actions);
+  REQUIRE(actions.size() == 1);
+  const auto& send = std::get<SendPeer>(actions.front());
+  CHECK(send.to == kFrom.id);
+  const auto& told = std::get<ScreenEnded>(send.payload);
+  CHECK(told.end == ScreenEnd::kDied);
+  CHECK(told.holder == kFrom);
+  // Told back by another home, it is the same death.
+  it.home.OnEnded(kStart, {InstanceId("10.0.0.9:7000"), Incarnation(9)}, told);
+  CHECK(it.home.DeathsOf(kContent) == 1);
+}
+
 TEST_CASE("a gone holder's runs and expired ones are freed") {
   Home it;
   it.Ask("a");
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,6 +8,7 @@
 # Usage: tools/demo.sh [BUILD]
 #   UMBERTRAIL_DEMO_PORT     first of nine ports of the instances (free ones)
 #   UMBERTRAIL_DEMO_SECONDS  how long callers send (30, at least 24)
+#   UMBERTRAIL_DEMO_FAULTS   1: engines also die and their links go silent
 #   UMBERTRAIL_DEMO_KEEP     a directory to keep logs and settings in
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -17,7 +18,7 @@
 seconds=${UMBERTRAIL_DEMO_SECONDS:-30}
 run_for=150  # every stand-in ends by itself after this many seconds
 data_centres=(south-a south-b south-c)
-closed_centre=south-c
+closed_centre=south-a
 
 work=$(mktemp -d)
 pids=()
@@ -27,15 +28,27 @@
 instance_pids=()
 entries=()
 
+# Sends a signal to processes that may have ended.
+end_all() {
+  local signal=$1
+  shift
+  for it in "$@"; do
+    kill "-$signal" "$it" 2>/dev/null || true
+  done
+}
+
 finish() {
   local code=$?
   trap - EXIT
-  for it in "${instance_pids[@]}" "${pids[@]}"; do
-    kill "$it" 2>/dev/null || true
-  done
-  for it in "${instance_pids[@]}" "${pids[@]}"; do
-    wait "$it" 2>/dev/null || true
+  local started=("${instance_pids[@]}" "${pids[@]}")
+  end_all TERM "${started[@]}"
+  # A graceful stop may wait for requests that nobody wants any more.
+  for _ in $(seq 50); do
+    [ -z "$(jobs -pr)" ] && break
+    sleep 0.1
   done
+  end_all KILL "${started[@]}"
+  wait 2>/dev/null || true
   if [ -n "${UMBERTRAIL_DEMO_KEEP:-}" ]; then
     cp -r "$work/." "$UMBERTRAIL_DEMO_KEEP/"
   elif [ "$code" -ne 0 ]; then
@@ -72,7 +85,7 @@
 start_standin() {
   local name=$1
   shift
-  : >"$work/$name.log"  # the background process may open it later than sed
+  : >"$work/$name.log"
   "$build/tools/$1" --run-for "$run_for" "${@:2}" >"$work/$name.log" 2>&1 &
   pids+=($!)
   for _ in $(seq 100); do
@@ -182,6 +195,11 @@
   curl -s "http://$1/standin/counters" | sed -n "s/.*\"$2\":\([0-9]*\).*/\1/p"
 }
 
+# Sets a fault of the engine with this index.
+engine_fault() {
+  curl -sf -o /dev/null -d "$2" "http://${engines[$1]}/standin/fault"
+}
+
 # Requests that the engines of the closed data centre have accepted.
 closed_accepted() {
   local sum=0
@@ -230,7 +248,7 @@
 
 echo "-- overhead of a short prompt while nothing else runs"
 "$build/tools/demo_client" overhead --entries "$entry_list" \
-  --accounts "$accounts" --engines "${engines[0]},${engines[2]}" --count 60
+  --accounts "$accounts" --engines "${engines[0]},${engines[2]}" --count 120
 
 echo "-- $seconds s of prompts and filings"
 "$build/tools/demo_client" load --entries "$entry_list" \
@@ -240,7 +258,7 @@
 pids+=("$load")
 
 sleep 6
-echo "   requests $closed_centre received in 6 s: $(closed_accepted)"
+echo "   requests $closed_centre received so far: $(closed_accepted)"
 echo "   $closed_centre is taken out"
 publish_manifest 2 false
 sleep 4
@@ -254,6 +272,12 @@
 sleep 4
 echo "   requests it received in the next 4 s: $(($(closed_accepted) - back))"
 
+if [ "${UMBERTRAIL_DEMO_FAULTS:-}" = 1 ]; then
+  echo "   open links of engine 0 go silent, engine 2 dies"
+  engine_fault 0 '{"mute_streams": true}'
+  engine_fault 2 '{"crash": true}'
+fi
+
 echo "   instance 2 is stopped"
 publish_instances 2
 kill -TERM "${instance_pids[2]}"
--- a/tools/measure/owner_routing.cc
+++ b/tools/measure/owner_routing.cc
@@ -19,6 +19,11 @@
 constexpr absl::Duration kTail = absl::Minutes(12);
 constexpr absl::Duration kWarmUp = absl::Seconds(5);
 constexpr absl::Duration kHeartbeat = absl::Seconds(1);
+// First tokens sooner than this are as good as one another.
+constexpr absl::Duration kFirstTokenAim = absl::Milliseconds(250);
+// Long prompts gather on few targets while these finish them within this part
+// of their time; a larger share of it makes reviews wait for one another.
+constexpr int kGatherPart = 16;
 // A refused request asks again after this while it has time.
 constexpr absl::Duration kAskAgain = absl::Milliseconds(500);
 
@@ -89,19 +94,38 @@
     loop_.After(kHop, [this, i] { Admit(i, false); });
   }
 
+  // The receiving instance's rule. Targets that meet the aim for the first
+  // token are ranked by their finish; the others come after them, by their
+  // first token.
+  static absl::Duration CostOf(const core::ProbeReply& reply, bool is_long) {
+    const bool meets = reply.first_token <= kFirstTokenAim;
+    return is_long || meets ? reply.finish
+                            : absl::Hours(24) + reply.first_token;
+  }
+
+  // Long prompts gather on the first targets that have time for them.
   std::optional<size_t> Probe(size_t i) {
     core::ProbeRequest probe;
     probe.model = ModelId("m");
     probe.prompt = Tokens(jobs_[i].prompt);
     probe.max_output = Tokens(jobs_[i].max_output);
     probe.time_left = TimeLeft(i);
+    const bool is_long =
+        classes_ && core::ClassOf(probe.prompt) == core::LengthClass::kLong;
     std::optional<size_t> best;
     absl::Duration least = absl::InfiniteDuration();
     for (size_t target = 0; target < engines_.size(); ++target) {
       probe.target = fleet_.targets()[target].id;
       const core::ProbeReply reply = table_.OnProbe(loop_.now(), probe);
-      if (reply.can_serve && reply.finish < least) {
-        least = reply.finish;
+      if (!reply.can_serve) {
+        continue;
+      }
+      if (is_long && reply.finish <= probe.time_left / kGatherPart) {
+        return target;
+      }
+      const absl::Duration cost = CostOf(reply, is_long);
+      if (cost < least) {
+        least = cost;
         best = target;
       }
     }
