Heavy work goes out only to the boot that was granted

Ruled out: shorter polls (they cost traffic and keep a window). Change: work over a target's cold budget is preceded by a look at its boot id.

--- a/packages/core/include/umbertrail/core/request/active_request.h
+++ b/packages/core/include/umbertrail/core/request/active_request.h
@@ -20,6 +20,7 @@
   kProbing,    // waits for probes and for its screening home
   kAdmitting,  // asked an owner
   kQueued,     // has a place in an owner's queue
+  kChecking,   // granted; asks the targets whether they restarted since
   kRunning,    // on a target
   kForwarded,  // passed to the issuer of its ticket
   kFollowing,  // another request under the same ticket runs
@@ -96,6 +97,9 @@
   std::size_t group_size = 1;
   Tokens group_share;
 
+  // Targets that were asked and are those that the owner knows.
+  std::set<TargetId> checked;
+
   // Running.
   absl::Time started_at;
   absl::Duration first_token;
--- a/packages/core/include/umbertrail/core/request/fleet_placement.h
+++ b/packages/core/include/umbertrail/core/request/fleet_placement.h
@@ -22,12 +22,14 @@
   std::vector<TargetId> CandidatesFor(const RequestSpec& spec,
                                       absl::Time now) const override;
   Tokens MemoryOf(const TargetId& target) const override;
+  Tokens ColdBudgetOf(const TargetId& target) const override;
 
  private:
   const FleetView* fleet_;
   std::map<ModelId, std::vector<TargetId>> by_model_;
   std::map<ServiceId, std::vector<TargetId>> by_service_;
   std::map<TargetId, Tokens> memory_;
+  std::map<TargetId, Tokens> cold_budget_;
 };
 
 }  // namespace umbertrail::core
--- a/packages/core/include/umbertrail/core/request/placement.h
+++ b/packages/core/include/umbertrail/core/request/placement.h
@@ -20,6 +20,9 @@
 
   // KV memory of one target in tokens; zero when it is not known.
   virtual Tokens MemoryOf(const TargetId& target) const = 0;
+
+  // What the target can bear just after its start; zero when not known.
+  virtual Tokens ColdBudgetOf(const TargetId& target) const = 0;
 };
 
 }  // namespace umbertrail::core
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -227,6 +227,16 @@
                  ActiveRequest* r,
                  const AdmitReply& reply,
                  Actions* actions);
+  // A grant rests on a report up to a poll old. Work that a target could not
+  // bear just after a restart is preceded by a look at its boot.
+  bool NeedsCheck(const ActiveRequest& r) const;
+  void BeginCheck(absl::Time now, ActiveRequest* r, Actions* actions);
+  void OnChecked(absl::Time now,
+                 ActiveRequest* r,
+                 const TargetId& target,
+                 const BootId& boot,
+                 Actions* actions);
+  std::vector<RequestId> RequestsChecking(const TargetId& target) const;
   void Start(absl::Time now, ActiveRequest* r, Actions* actions);
   // Gives back every place of the request with this result.
   void SettlePlaces(absl::Time now,
--- a/packages/core/src/request/flow_admission.cc
+++ b/packages/core/src/request/flow_admission.cc
@@ -205,6 +205,66 @@
     Ask(now, r, false, actions);
     return;
   }
+  if (NeedsCheck(*r)) {
+    BeginCheck(now, r, actions);
+    return;
+  }
+  Start(now, r, actions);
+}
+
+bool RequestFlow::NeedsCheck(const ActiveRequest& r) const {
+  return std::any_of(r.places.begin(), r.places.end(), [&](const Place& it) {
+    const Tokens bearable = parts_.placement->ColdBudgetOf(it.target);
+    return bearable > Tokens(0) && it.held > bearable;
+  });
+}
+
+void RequestFlow::BeginCheck(absl::Time now,
+                             ActiveRequest* r,
+                             Actions* actions) {
+  r->phase = Phase::kChecking;
+  r->checked.clear();
+  table_.WakeAt(r, r->asked_at + config_.grant_window);
+  next_heartbeat_ = std::min(next_heartbeat_, now + config_.heartbeat);
+  for (const Place& it : r->places) {
+    actions->push_back(PollTarget{it.target});
+  }
+}
+
+std::vector<RequestId> RequestFlow::RequestsChecking(
+    const TargetId& target) const {
+  std::vector<RequestId> ids;
+  for (const auto& [id, r] : table_.all()) {
+    const bool waits =
+        r->phase == Phase::kChecking &&
+        std::any_of(r->places.begin(), r->places.end(),
+                    [&](const Place& it) { return it.target == target; });
+    if (waits) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+void RequestFlow::OnChecked(absl::Time now,
+                            ActiveRequest* r,
+                            const TargetId& target,
+                            const BootId& boot,
+                            Actions* actions) {
+  for (const Place& it : r->places) {
+    if (it.target == target && it.boot != boot) {
+      TryElsewhere(now, r, actions);
+      return;
+    }
+  }
+  r->checked.insert(target);
+  if (r->checked.size() < r->places.size()) {
+    return;
+  }
+  if (now - r->asked_at > config_.grant_window) {
+    TryElsewhere(now, r, actions);
+    return;
+  }
   Start(now, r, actions);
 }
 
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -205,6 +205,9 @@
                                  const TargetId& target,
                                  const TargetReport& report,
                                  Actions* actions) {
+  for (const RequestId& id : RequestsChecking(target)) {
+    OnChecked(now, table_.Find(id), target, report.boot, actions);
+  }
   std::vector<PostMortem> resolved;
   const auto concerns = [&](const PostMortem& it) {
     return it.target == target;
@@ -222,6 +225,11 @@
 void RequestFlow::OnTargetUnreachable(absl::Time now,
                                       const TargetUnreachable& event,
                                       Actions* actions) {
+  for (const RequestId& id : RequestsChecking(event.target)) {
+    ActiveRequest* r = table_.Find(id);
+    r->excluded.insert(event.target);
+    TryElsewhere(now, r, actions);
+  }
   if (!event.refused) {
     // A link may be down; only a refused connection or a new boot shows a
     // death.
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -139,6 +139,7 @@
         }
         break;
       case Phase::kHeld:
+      case Phase::kChecking:
       case Phase::kRunning:
       case Phase::kFollowing:
         break;
@@ -227,6 +228,10 @@
     case Phase::kQueued:
       Ask(now, r, false, actions);
       return;
+    case Phase::kChecking:
+      // The grant is too old to be used.
+      TryElsewhere(now, r, actions);
+      return;
     case Phase::kForwarded:
       // Passing it again is safe: the issuer runs it once.
       if (r->asked_successor || r->forward_tries >= kMaxForwards) {
--- a/packages/core/src/request/request_table.cc
+++ b/packages/core/src/request/request_table.cc
@@ -18,6 +18,8 @@
       return "admitting";
     case Phase::kQueued:
       return "queued";
+    case Phase::kChecking:
+      return "checking";
     case Phase::kRunning:
       return "running";
     case Phase::kForwarded:
--- a/tests/core/fake_fleet.h
+++ b/tests/core/fake_fleet.h
@@ -60,9 +60,11 @@
     return candidates;
   }
   Tokens MemoryOf(const TargetId&) const override { return memory; }
+  Tokens ColdBudgetOf(const TargetId&) const override { return cold_budget; }
 
   std::vector<TargetId> candidates;
   Tokens memory;
+  Tokens cold_budget{16000};
 };
 
 }  // namespace umbertrail::core
--- a/tests/core/request_flow_test.cc
+++ b/tests/core/request_flow_test.cc
@@ -222,6 +222,33 @@
   CHECK(it.Last<StartAttempt>() == nullptr);
 }
 
+TEST_CASE(
+    "work over a cold budget goes out only to the boot that was granted") {
+  Flow it;
+  RequestSpec spec = it.Completion("r");
+  spec.prompt = Tokens(100000);
+  it.Arrive(spec, absl::Minutes(1));
+  it.AnswerProbes();
+  it.Reply(it.TakeAsk(), AdmitDecision::kGranted);
+  REQUIRE(it.Last<PollTarget>() != nullptr);
+  TargetReport report;
+  SECTION("the same boot: it starts") {
+    report.boot = BootId("boot");
+    it.flow.OnTargetReport(it.now, kFirst, report, &it.actions);
+    CHECK(it.Last<StartAttempt>() != nullptr);
+  }
+  SECTION("another boot: it doesn't") {
+    report.boot = BootId("restarted");
+    it.flow.OnTargetReport(it.now, kFirst, report, &it.actions);
+    CHECK(it.Last<StartAttempt>() == nullptr);
+  }
+  SECTION("no answer within the window: it doesn't") {
+    it.now += FlowConfig().grant_window + absl::Milliseconds(1);
+    it.flow.OnTick(it.now, &it.actions);
+    CHECK(it.Last<StartAttempt>() == nullptr);
+  }
+}
+
 TEST_CASE("a refusal by every owner is final at once and says not run") {
   Flow it;
   it.Arrive(it.Completion("r"));
@@ -336,6 +363,7 @@
   const AdmitRequest second = it.TakeAsk();
   CHECK(second.target == kSecond);
   SECTION("all granted: the last one leads") {
+    it.placement.cold_budget = Tokens(0);
     it.Reply(second, AdmitDecision::kGranted);
     const AdmitRequest third = it.TakeAsk();
     CHECK(third.purpose == AdmitPurpose::kRun);
--- a/tests/sim/fake_target.h
+++ b/tests/sim/fake_target.h
@@ -61,6 +61,7 @@
   bool up() const { return scheduler_->now() >= down_until_; }
   bool silent() const { return scheduler_->now() < silent_until_; }
   bool leaving() const { return leaving_; }
+  uint64_t boot() const { return boot_; }
   const Traits& traits() const { return traits_; }
   const std::map<Fingerprint, int>& deaths() const { return deaths_; }
   const std::vector<core::Allocation>& allocations() const {
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -360,9 +360,11 @@
     fail(kRefused, core::AttemptFailure::kSaidNotRun);
     return;
   }
-  scheduler_.After(LinkDelay(), [this, life, name, holder, action, fail] {
+  const uint64_t boot = target->boot();
+  scheduler_.After(LinkDelay(), [this, life, name, holder, action, fail, boot] {
     FakeTarget* it = targets_.at(name).get();
-    if (!it->up()) {
+    // A connection doesn't outlive the process that it was made to.
+    if (!it->up() || it->boot() != boot) {
       fail(kRefused, core::AttemptFailure::kBroken);
       return;
     }
