A stopping owner that nobody follows serves on

Change: an owner hands over and refuses only when another instance ranks for its target; the test of the hand-over now takes the claim away as the fleet does, and a new one holds the other case.

--- a/packages/core/src/owner/target_owner.cc
+++ b/packages/core/src/owner/target_owner.cc
@@ -276,12 +276,16 @@
   if (stopping_) {
     return;
   }
-  RefreshClaim(now, actions);
+  if (context_.fleet->ClaimOf(target_, now) != OwnerClaim::kNone) {
+    // Nobody else is there to own it: it serves on until one is.
+    return;
+  }
   RefuseAll({Reason::kStopping, kLeastRetry}, actions);
   if (gate_.whole()) {
     HandOver(actions);
   }
   stopping_ = true;
+  RefreshClaim(now, actions);
 }
 
 void TargetOwner::RefreshClaim(absl::Time now, Actions* actions) {
--- a/tests/core/owner_table_test.cc
+++ b/tests/core/owner_table_test.cc
@@ -294,12 +294,22 @@
   CHECK(bench.Sent<AdmitReady>().size() == 1);
 }
 
+TEST_CASE("a stopping owner with nobody to follow it serves on") {
+  OwnerBench bench;
+  bench.fleet.ranking = {InstanceId("self")};
+  bench.Open(TargetState::kWarm);
+  bench.table->OnStop(bench.now, &bench.actions);
+  CHECK(bench.Admit("a", 100).decision == AdmitDecision::kGranted);
+}
+
 TEST_CASE("a stopping owner hands over and refuses what waits") {
   OwnerBench bench;
   bench.fleet.ranking = {InstanceId("self"), InstanceId("next")};
   bench.Open(TargetState::kCold);
   bench.Admit("a", 6000);
   bench.Admit("b", 6000);
+  // The fleet ranks a leaving instance behind the others at once.
+  bench.fleet.claim = OwnerClaim::kNone;
   bench.table->OnStop(bench.now, &bench.actions);
   CHECK(bench.Sent<OwnerHandover>().size() == 1);
   REQUIRE(bench.Sent<AdmitReply>().size() == 1);
