--- a/tools/capacity/run.sh
+++ b/tools/capacity/run.sh
@@ -6,5 +6,7 @@
   binary="$build/tools/${program}_capacity"
   [ -x "$binary" ] || continue
   echo "== $program"
-  timeout 300 "$binary"
+  arguments=()
+  [ "$program" = fleet ] && arguments=(--json)
+  timeout 300 "$binary" "${arguments[@]}"
 done
