--- a/packages/core/include/umbertrail/core/request/active_request.h
+++ b/packages/core/include/umbertrail/core/request/active_request.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "umbertrail/core/messages.h"
+#include "umbertrail/core/actions.h"
 #include "umbertrail/core/request/answer_assembler.h"
 
 namespace umbertrail::core {
@@ -109,6 +109,8 @@
   int sends_not_run = 0;
   // The target began, or part of the answer came.
   bool seen_running = false;
+  // Attempts that were given up; a target may still hold memory for them.
+  std::vector<CancelAttempt> given_up;
   // Sends that broke; suspended ones are not counted.
   int failed_sends = 0;
   // It waits for a broken target to show whether it died.
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -160,6 +160,14 @@
     int left = 0;
   };
 
+  // A cancel told again after its request ended: a target that was out of reach
+  // still holds memory for it.
+  struct CancelRepeat {
+    CancelAttempt cancel;
+    absl::Time next;
+    int left = 0;
+  };
+
   // Arrival (flow_arrival.cc).
   void Admit(absl::Time now, ActiveRequest request, Actions* actions);
   Verdict RefuseWhenStopping(absl::Time now, ActiveRequest* request);
@@ -256,6 +264,9 @@
   void TellDeath(absl::Time now,
                  const PostMortem& post_mortem,
                  Actions* actions);
+  // Cancels the running attempt at its target, now and again after its end.
+  void GiveUpAttempt(ActiveRequest* r, Actions* actions);
+  void RepeatCancels(absl::Time now, Actions* actions);
   void RepeatDeathNotices(absl::Time now, Actions* actions);
   void FinishQuarantined(absl::Time now, ActiveRequest* r, Actions* actions);
   void ResolvePostMortem(absl::Time now,
@@ -292,6 +303,7 @@
   uint64_t next_probe_ = 1;
   std::vector<PostMortem> post_mortems_;
   std::vector<DeathNotice> death_notices_;
+  std::vector<CancelRepeat> cancel_repeats_;
   absl::Time next_heartbeat_ = absl::InfiniteFuture();
   bool stopping_ = false;
 };
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -16,6 +16,7 @@
 constexpr absl::Duration kNoticeInterval = absl::Seconds(3);
 constexpr int kNoticeRepeats = 10;
 constexpr std::size_t kMaxNotices = 1000;
+constexpr absl::Duration kCancelInterval = absl::Seconds(10);
 constexpr absl::Duration kSuspendPause = absl::Milliseconds(100);
 
 }  // namespace
@@ -69,8 +70,7 @@
         RelayChunk{event.request, it.offset, it.tokens, std::move(it.text)});
   }
   if (verdict == AnswerAssembler::Verdict::kInconsistent) {
-    actions->push_back(
-        CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+    GiveUpAttempt(r, actions);
     OnBroken(now, r, true, actions);
   }
 }
@@ -131,8 +131,7 @@
       OnBroken(now, r, true, actions);
       return;
     case AttemptFailure::kSilent:
-      actions->push_back(
-          CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+      GiveUpAttempt(r, actions);
       OnBroken(now, r, false, actions);
       return;
     case AttemptFailure::kBroken:
@@ -156,6 +155,10 @@
   }
   ++r->failed_sends;
   const Place lead = r->places.back();
+  if (!answered) {
+    // Whatever became of it, nobody will take its answer.
+    r->given_up.push_back({r->spec.id, r->attempt, lead.target});
+  }
   SettlePlaces(now, r,
                answered ? AttemptResult::kFailed : AttemptResult::kBroken,
                actions);
@@ -283,6 +286,26 @@
   }
 }
 
+void RequestFlow::GiveUpAttempt(ActiveRequest* r, Actions* actions) {
+  const CancelAttempt cancel{r->spec.id, r->attempt, r->places.back().target};
+  r->given_up.push_back(cancel);
+  actions->push_back(cancel);
+}
+
+void RequestFlow::RepeatCancels(absl::Time now, Actions* actions) {
+  for (CancelRepeat& it : cancel_repeats_) {
+    if (it.next <= now) {
+      actions->push_back(it.cancel);
+      it.next = now + kCancelInterval;
+      --it.left;
+    }
+  }
+  cancel_repeats_.erase(
+      std::remove_if(cancel_repeats_.begin(), cancel_repeats_.end(),
+                     [](const CancelRepeat& it) { return it.left <= 0; }),
+      cancel_repeats_.end());
+}
+
 void RequestFlow::RepeatDeathNotices(absl::Time now, Actions* actions) {
   for (DeathNotice& it : death_notices_) {
     if (it.next > now) {
@@ -311,8 +334,7 @@
   if (r == nullptr || r->once || r->spec.kind != RequestKind::kCompletion) {
     return;
   }
-  actions->push_back(
-      CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+  GiveUpAttempt(r, actions);
   SettlePlaces(now, r, AttemptResult::kSuspended, actions);
   r->answer.DropWaiting();
   Hold(now, r, kSuspendPause);
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -11,6 +11,10 @@
 
 constexpr absl::Duration kKeyRetry = absl::Seconds(5);
 constexpr int kMaxForwards = 3;
+// A cancel is told again for about as long as a short partition lasts.
+constexpr absl::Duration kFirstCancelRepeat = absl::Seconds(5);
+constexpr int kCancelRepeats = 4;
+constexpr std::size_t kMaxCancelRepeats = 1000;
 
 }  // namespace
 
@@ -43,8 +47,7 @@
                        outcome.total == r->answer.delivered() || !own ||
                        r->once);
   if (r->phase == Phase::kRunning) {
-    actions->push_back(
-        CancelAttempt{r->spec.id, r->attempt, r->places.back().target});
+    GiveUpAttempt(r, actions);
     SettlePlaces(now, r, AttemptResult::kCancelled, actions);
   } else {
     SettlePlaces(now, r, AttemptResult::kNotStarted, actions);
@@ -61,6 +64,11 @@
     actions->push_back(SendPeer{
         r->forwarded_from, SubmitResult{r->forwarded_id, std::move(outcome)}});
   }
+  for (const CancelAttempt& it : r->given_up) {
+    if (cancel_repeats_.size() < kMaxCancelRepeats) {
+      cancel_repeats_.push_back({it, now + kFirstCancelRepeat, kCancelRepeats});
+    }
+  }
   table_.Remove(r->spec.id);
 }
 
@@ -204,6 +212,7 @@
     ResolvePostMortem(now, it, false, actions);
   }
   RepeatDeathNotices(now, actions);
+  RepeatCancels(now, actions);
   if (now >= next_heartbeat_) {
     SendHeartbeats(now, actions);
   }
@@ -271,6 +280,9 @@
   for (const PostMortem& it : post_mortems_) {
     next = std::min(next, it.until);
   }
+  for (const CancelRepeat& it : cancel_repeats_) {
+    next = std::min(next, it.next);
+  }
   for (const DeathNotice& it : death_notices_) {
     next = std::min(next, it.next);
   }
