--- a/packages/core/include/umbertrail/core/request/active_request.h
+++ b/packages/core/include/umbertrail/core/request/active_request.h
@@ -78,6 +78,8 @@
   std::set<InstanceId> screen_agreed;
   // Every home that agreed knows of no death and no other open run.
   bool screen_clean = true;
+  // One of them is old enough to know what came before.
+  bool screen_vouched = false;
   // Targets that died under this request.
   uint32_t deaths_seen = 0;
   AttemptNumber screen_attempt{0};
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -182,6 +182,7 @@
   }
   r->screen_attempt = r->attempt;
   r->screen_clean = r->deaths_seen == 0 && known == 0;
+  r->screen_vouched = false;
   const auto homes = RankInstances(r->spec.fingerprint.value(),
                                    parts_.fleet->instances(), kScreenHomes);
   for (const InstanceId& home : homes) {
@@ -225,12 +226,19 @@
   }
   r->screen_agreed.insert(from.id);
   r->screen_clean = r->screen_clean && reply.deaths == 0 && reply.others == 0;
+  r->screen_vouched = r->screen_vouched || !reply.young;
   if (reply.young) {
     AskFurtherHome(now, r, actions);
   }
   if (r->screen_agreed.size() < r->screen_homes.size()) {
     return;
   }
+  if (!r->screen_vouched) {
+    PassWithFewerHomes(now, r, actions);
+    if (!r->screened) {
+      return;
+    }
+  }
   r->screened = true;
   DecideProbes(now, r, actions);
 }
@@ -269,7 +277,8 @@
 void RequestFlow::PassWithFewerHomes(absl::Time now,
                                      ActiveRequest* r,
                                      Actions* actions) {
-  // The home out of reach may have let one run: only a first one may go.
+  // A home out of reach or replaced may have let one run: only a first one may
+  // go.
   if (r->screen_clean) {
     r->screened = true;
     return;
