--- a/packages/core/src/request/flow_arrival.cc
+++ b/packages/core/src/request/flow_arrival.cc
@@ -144,8 +144,11 @@
 RequestFlow::Verdict RequestFlow::RefuseWhenStopping(absl::Time now,
                                                      ActiveRequest* request) {
   static_cast<void>(now);
-  static_cast<void>(request);
-  if (!stopping_) {
+  // A submission that another instance admitted can be redeemed here alone.
+  const bool only_here = !request->forwarded_from.empty() &&
+                         request->spec.ticket.has_value() &&
+                         request->spec.ticket->issuer == self_;
+  if (!stopping_ || only_here) {
     return std::nullopt;
   }
   return MakeRefusal(Reason::kStopping, kStoppingRetry,
--- a/tests/core/request_flow_test.cc
+++ b/tests/core/request_flow_test.cc
@@ -347,6 +347,22 @@
   CHECK(finish->outcome.ran == Ran::kUnknown);
 }
 
+TEST_CASE("a stopping issuer still runs what others pass to it") {
+  Flow it;
+  it.flow.OnTicketRequested(
+      it.now,
+      {RequestId("t"), ClientAccountId("club"), ServiceId("desk"), "file"},
+      &it.actions);
+  RequestSpec spec = it.Call("r", "file");
+  spec.ticket = it.Last<TicketIssued>()->ticket;
+  it.flow.OnStop(it.now, &it.actions);
+  it.flow.OnSubmitForward(it.now, kOwner,
+                          {spec, absl::Seconds(5), kSelf.incarnation, nullptr},
+                          &it.actions);
+  CHECK_FALSE(it.flow.Idle());
+  it.RunToStart();
+}
+
 TEST_CASE("a prompt over one engine's memory takes targets in id order") {
   Flow it;
   it.placement.memory = Tokens(400000);
