Near-equal targets share the load, heartbeats every 5 s, stops try to the end

Cause: one of two equal engines got 156 requests and the other 2, and a cold one none; heartbeats made a third of the bytes between instances; requests admitted before a stop were given up at half of their time. Change: a random choice among predictions within 10 ms and a tenth; heartbeat 5 s with 12 s of silence; what waits for a stopping owner's target is tried until its deadline.

--- a/packages/core/include/umbertrail/core/owner/owner_config.h
+++ b/packages/core/include/umbertrail/core/owner/owner_config.h
@@ -21,7 +21,7 @@
   absl::Duration claim_window = absl::Milliseconds(500);
   // A granted attempt that was not heard of for this long is silent: it is
   // charged until a report taken later shows it gone.
-  absl::Duration grant_silence = absl::Seconds(4);
+  absl::Duration grant_silence = absl::Seconds(12);
   // Failed polls in a row after which a target counts as unreachable. A refused
   // connection counts at once.
   int unreachable_after = 2;
--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -46,7 +46,7 @@
   // Asks for admission of one request.
   int max_admissions = 12;
   // Heartbeat of granted places to their owners.
-  absl::Duration heartbeat = absl::Seconds(1);
+  absl::Duration heartbeat = absl::Seconds(5);
   // How long a broken target may take to show whether it died.
   absl::Duration post_mortem = absl::Milliseconds(1500);
   // Shortest wait for a sign of life of a running stream.
@@ -220,6 +220,15 @@
                     const TargetId& target,
                     ActiveRequest* r) const;
   static absl::Duration CostOf(const ProbeReply& reply, bool is_long);
+  // Long prompts gather on the same few targets while these have time, so that
+  // short ones find the others free; null when none has.
+  static const ProbeState* GatheringTarget(
+      const ActiveRequest& r,
+      absl::Duration left,
+      const std::vector<const ProbeState*>& able);
+  // One of those whose cost is close to the least, at random.
+  const ProbeState* NearBest(const std::vector<const ProbeState*>& able,
+                             bool is_long) const;
   const ProbeState* BestProbe(absl::Time now, const ActiveRequest& r) const;
   void OnNoCandidate(absl::Time now, ActiveRequest* r, Actions* actions);
   void Hold(absl::Time now, ActiveRequest* r, absl::Duration pause);
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -17,6 +17,10 @@
 // Long prompts gather on few targets while these finish them within this part
 // of their time; a larger share of it makes reviews wait for one another.
 constexpr int kGatherPart = 16;
+// Predictions this close are equal: the choice among them is random, so that
+// equal targets share the load and new ones get work to warm up on.
+constexpr absl::Duration kNearMargin = absl::Milliseconds(10);
+constexpr int kNearPart = 10;
 constexpr absl::Duration kOverloadRetry = absl::Seconds(1);
 constexpr absl::Duration kNoTargetRetry = absl::Seconds(2);
 constexpr absl::Duration kUnfreshPause = absl::Milliseconds(50);
@@ -390,9 +394,9 @@
     return;
   }
   const bool silent = serving == 0 && !AllReplied(r->probes);
-  // A stopping owner's targets pass to another within the lists' lag.
-  const bool moving = r->last_refusal == Reason::kStopping &&
-                      now - r->arrived < r->TimeLeft(now);
+  // A stopping owner's targets pass to another within the lists' lag. What was
+  // admitted before a planned stop is tried for as long as its time lasts.
+  const bool moving = r->last_refusal == Reason::kStopping;
   if (moving || (silent && r->probe_rounds < kMaxRounds)) {
     Hold(now, r, kSilentPause);
     return;
@@ -427,32 +431,60 @@
 const ProbeState* RequestFlow::BestProbe(absl::Time now,
                                          const ActiveRequest& r) const {
   const absl::Duration left = r.TimeLeft(now);
-  const bool is_long = ClassOf(r.spec.prompt) == LengthClass::kLong;
-  const uint64_t model = StableHash(r.spec.model.text());
-  const ProbeState* best = nullptr;
-  absl::Duration best_cost = absl::InfiniteDuration();
-  const ProbeState* gathered = nullptr;
-  uint64_t gathered_rank = 0;
+  std::vector<const ProbeState*> able;
   for (const ProbeState& it : r.probes) {
     const bool serves = it.reply.has_value() && it.reply->can_serve;
-    if (!serves || it.reply->finish > left) {
-      continue;
+    if (serves && it.reply->finish <= left) {
+      able.push_back(&it);
     }
-    const absl::Duration cost = CostOf(*it.reply, is_long);
-    if (cost < best_cost) {
-      best_cost = cost;
-      best = &it;
+  }
+  const bool is_long = ClassOf(r.spec.prompt) == LengthClass::kLong;
+  if (is_long) {
+    const ProbeState* gathered = GatheringTarget(r, left, able);
+    if (gathered != nullptr) {
+      return gathered;
     }
-    // Long prompts gather on the same few targets while these have time, so
-    // that short ones find the others free.
-    const uint64_t rank = StableHash(it.target.text(), model);
-    if (is_long && it.reply->finish <= left / kGatherPart &&
-        rank >= gathered_rank) {
+  }
+  return NearBest(able, is_long);
+}
+
+const ProbeState* RequestFlow::GatheringTarget(
+    const ActiveRequest& r,
+    absl::Duration left,
+    const std::vector<const ProbeState*>& able) {
+  const uint64_t model = StableHash(r.spec.model.text());
+  const ProbeState* gathered = nullptr;
+  uint64_t gathered_rank = 0;
+  for (const ProbeState* it : able) {
+    const uint64_t rank = StableHash(it->target.text(), model);
+    if (it->reply->finish <= left / kGatherPart && rank >= gathered_rank) {
       gathered_rank = rank;
-      gathered = &it;
+      gathered = it;
+    }
+  }
+  return gathered;
+}
+
+const ProbeState* RequestFlow::NearBest(
+    const std::vector<const ProbeState*>& able,
+    bool is_long) const {
+  const auto costs_less = [is_long](const ProbeState* a, const ProbeState* b) {
+    return CostOf(*a->reply, is_long) < CostOf(*b->reply, is_long);
+  };
+  const auto best = std::min_element(able.begin(), able.end(), costs_less);
+  if (best == able.end()) {
+    return nullptr;
+  }
+  const absl::Duration margin =
+      kNearMargin + (*best)->reply->finish / kNearPart;
+  const absl::Duration most = CostOf(*(*best)->reply, is_long) + margin;
+  std::vector<const ProbeState*> near;
+  for (const ProbeState* it : able) {
+    if (CostOf(*it->reply, is_long) <= most) {
+      near.push_back(it);
     }
   }
-  return gathered != nullptr ? gathered : best;
+  return near[parts_.random->Below(near.size())];
 }
 
 void RequestFlow::OnNoCandidate(absl::Time now,
--- a/tests/sim/commands.cc
+++ b/tests/sim/commands.cc
@@ -6,11 +6,13 @@
 namespace {
 
 const char* const kNames[] = {
-    "prompt",        "poison",        "filing",       "crash",
-    "pause",         "partition",     "unruly_links", "config_down",
-    "config_stale",  "lists_differ",  "target_dies",  "target_cold",
-    "target_silent", "target_leaves", "data_centre",  "version",
-    "stop",          "burst",
+    "prompt",        "poison",        "filing",
+    "crash",         "pause",         "partition",
+    "unruly_links",  "config_down",   "config_stale",
+    "lists_differ",  "target_dies",   "target_cold",
+    "target_silent", "target_leaves", "data_centre",
+    "version",       "stop",          "filing_under_fire",
+    "burst",
 };
 
 }  // namespace
--- a/tests/sim/commands.h
+++ b/tests/sim/commands.h
@@ -10,24 +10,25 @@
 // What a generated run consists of. `a` to `c` choose among what exists at
 // that moment, by remainder, so that every shrunk run is still a valid one.
 enum class CommandKind {
-  kPrompt,        // a: instance, b: length, c: deadline
-  kPoison,        // a: instance, b: which content; sent again if refused
-  kFiling,        // a: instances, b: ticket or key, c: resends
-  kCrash,         // a: instance; one with empty memory takes its place
-  kPause,         // a: instance, b: how long
-  kPartition,     // a: sides, b: how long, c: instances only or all
-  kUnrulyLinks,   // a: drops, b: repeats, c: how long
-  kConfigDown,    // a: how long
-  kConfigStale,   // a: instance, b: how long
-  kListsDiffer,   // a: instance, b: lag
-  kTargetDies,    // a: target, b: how long
-  kTargetCold,    // a: target
-  kTargetSilent,  // a: target, b: how long
-  kTargetLeaves,  // a: target
-  kDataCentre,    // a: data centre; closed or opened again
-  kVersion,       // a new version of the model
-  kStop,          // a: instance, planned; another takes its place later
-  kBurst,         // a: instance, b: how many prompts at once
+  kPrompt,           // a: instance, b: length, c: deadline
+  kPoison,           // a: instance, b: which content; sent again if refused
+  kFiling,           // a: instances, b: ticket or key, c: resends
+  kCrash,            // a: instance; one with empty memory takes its place
+  kPause,            // a: instance, b: how long
+  kPartition,        // a: sides, b: how long, c: instances only or all
+  kUnrulyLinks,      // a: drops, b: repeats, c: how long
+  kConfigDown,       // a: how long
+  kConfigStale,      // a: instance, b: how long
+  kListsDiffer,      // a: instance, b: lag
+  kTargetDies,       // a: target, b: how long
+  kTargetCold,       // a: target
+  kTargetSilent,     // a: target, b: how long
+  kTargetLeaves,     // a: target
+  kDataCentre,       // a: data centre; closed or opened again
+  kVersion,          // a new version of the model
+  kStop,             // a: instance, planned; another takes its place later
+  kFilingUnderFire,  // as kFiling; services fail meanwhile
+  kBurst,            // a: instance, b: how many prompts at once
   kCount,
 };
 
--- a/tests/sim/runner.cc
+++ b/tests/sim/runner.cc
@@ -34,23 +34,15 @@
   }
   // Work comes more often than faults: a run must have something to lose.
   return rc::gen::weightedElement<Kind>({
-      {12, Kind::kPrompt},
-      {3, Kind::kBurst},
-      {8, Kind::kFiling},
-      {3, Kind::kPoison},
-      {3, Kind::kCrash},
-      {3, Kind::kPause},
-      {3, Kind::kPartition},
-      {2, Kind::kUnrulyLinks},
-      {2, Kind::kConfigDown},
-      {2, Kind::kConfigStale},
-      {2, Kind::kListsDiffer},
-      {3, Kind::kTargetDies},
-      {2, Kind::kTargetCold},
-      {2, Kind::kTargetSilent},
-      {1, Kind::kTargetLeaves},
-      {3, Kind::kDataCentre},
-      {2, Kind::kVersion},
+      {12, Kind::kPrompt},      {3, Kind::kBurst},
+      {6, Kind::kFiling},       {3, Kind::kFilingUnderFire},
+      {3, Kind::kPoison},       {3, Kind::kCrash},
+      {3, Kind::kPause},        {3, Kind::kPartition},
+      {2, Kind::kUnrulyLinks},  {2, Kind::kConfigDown},
+      {2, Kind::kConfigStale},  {2, Kind::kListsDiffer},
+      {3, Kind::kTargetDies},   {2, Kind::kTargetCold},
+      {2, Kind::kTargetSilent}, {1, Kind::kTargetLeaves},
+      {3, Kind::kDataCentre},   {2, Kind::kVersion},
       {2, Kind::kStop},
   });
 }
--- a/tests/sim/sim_test.cc
+++ b/tests/sim/sim_test.cc
@@ -40,7 +40,7 @@
     const RunResult result =
         RunScript(MakeScript(seed, Mix::kNone), core::Mutations(), false);
     INFO("seed " << seed);
-    CHECK(result.failure.value_or("") == "");
+    CHECK(result.failure.value_or("none") == "none");
     CHECK(result.counts.lost == 0);
     // A resend under a key whose run has not ended is refused as unknown.
     const int expected =
@@ -65,7 +65,7 @@
       continue;
     }
     INFO("seed " << seed);
-    CHECK(result.failure.value_or("") == "");
+    CHECK(result.failure.value_or("none") == "none");
   }
 }
 
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -640,9 +640,7 @@
   if (by_key) {
     filing->key = name;
   }
-  if (command.b % 4 == 1) {
-    AttackFiling();
-  }
+
   filings_[name] = std::move(filing);
   if (by_key) {
     SubmitFiling(name);
@@ -724,9 +722,9 @@
   std::advance(target, command.a % targets_.size());
   switch (command.kind) {
     case CommandKind::kPrompt: {
-      static const int64_t kLengths[] = {1000,  2000,  4000,   7000,
-                                         12000, 60000, 150000, 900000};
-      const Tokens prompt(kLengths[command.b % 8]);
+      static const int64_t lengths[] = {1000,  2000,  4000,   7000,
+                                        12000, 60000, 150000, 900000};
+      const Tokens prompt(lengths[command.b % 8]);
       const auto limit =
           absl::Milliseconds(400 + command.c % 20000 + prompt.value() / 10);
       if (instance != nullptr) {
@@ -746,6 +744,10 @@
     case CommandKind::kFiling:
       BeginFiling(command);
       return;
+    case CommandKind::kFilingUnderFire:
+      BeginFiling(command);
+      AttackFiling();
+      return;
     case CommandKind::kCrash:
       if (instance != nullptr && Live().size() > 1) {
         KillInstance(instance);
--- a/tools/measure/owner_routing.cc
+++ b/tools/measure/owner_routing.cc
@@ -21,6 +21,9 @@
 constexpr absl::Duration kHeartbeat = absl::Seconds(1);
 // First tokens sooner than this are as good as one another.
 constexpr absl::Duration kFirstTokenAim = absl::Milliseconds(250);
+// As kNearMargin and kNearPart of flow_probe.cc.
+constexpr absl::Duration kNearMargin = absl::Milliseconds(10);
+constexpr int kNearPart = 10;
 // Long prompts gather on few targets while these finish them within this part
 // of their time; a larger share of it makes reviews wait for one another.
 constexpr int kGatherPart = 16;
@@ -112,8 +115,7 @@
     probe.time_left = TimeLeft(i);
     const bool is_long =
         classes_ && core::ClassOf(probe.prompt) == core::LengthClass::kLong;
-    std::optional<size_t> best;
-    absl::Duration least = absl::InfiniteDuration();
+    std::vector<Choice> able;
     for (size_t target = 0; target < engines_.size(); ++target) {
       probe.target = fleet_.targets()[target].id;
       const core::ProbeReply reply = table_.OnProbe(loop_.now(), probe);
@@ -123,13 +125,34 @@
       if (is_long && reply.finish <= probe.time_left / kGatherPart) {
         return target;
       }
-      const absl::Duration cost = CostOf(reply, is_long);
-      if (cost < least) {
-        least = cost;
-        best = target;
+      able.push_back({target, CostOf(reply, is_long), reply.finish});
+    }
+    return NearBest(able);
+  }
+
+  struct Choice {
+    size_t target = 0;
+    absl::Duration cost;
+    absl::Duration finish;
+  };
+
+  // One of the choices close to the least cost, at random.
+  std::optional<size_t> NearBest(const std::vector<Choice>& able) {
+    const auto best = std::min_element(
+        able.begin(), able.end(),
+        [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
+    if (best == able.end()) {
+      return std::nullopt;
+    }
+    const absl::Duration most =
+        best->cost + kNearMargin + best->finish / kNearPart;
+    std::vector<size_t> near;
+    for (const Choice& it : able) {
+      if (it.cost <= most) {
+        near.push_back(it.target);
       }
     }
-    return best;
+    return near[random_->Below(near.size())];
   }
 
   void Admit(size_t i, bool claim) {
