--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -20,7 +20,7 @@
 // Predictions this close are equal: the choice among them is random, so that
 // equal targets share the load and new ones get work to warm up on.
 constexpr absl::Duration kNearMargin = absl::Milliseconds(10);
-constexpr int kNearPart = 10;
+constexpr int kNearPart = 20;
 constexpr absl::Duration kOverloadRetry = absl::Seconds(1);
 constexpr absl::Duration kNoTargetRetry = absl::Seconds(2);
 constexpr absl::Duration kUnfreshPause = absl::Milliseconds(50);
@@ -475,8 +475,10 @@
   if (best == able.end()) {
     return nullptr;
   }
+  // A part of a long prompt's time would be seconds.
   const absl::Duration margin =
-      kNearMargin + (*best)->reply->finish / kNearPart;
+      kNearMargin +
+      (is_long ? absl::ZeroDuration() : (*best)->reply->finish / kNearPart);
   const absl::Duration most = CostOf(*(*best)->reply, is_long) + margin;
   std::vector<const ProbeState*> near;
   for (const ProbeState* it : able) {
--- a/tests/sim/soak.cc
+++ b/tests/sim/soak.cc
@@ -23,7 +23,7 @@
   soak [--first=SEED] [--seeds=N] [--mutation=NAME] [--calm] [--jobs=N]
        [--keep-going]
   soak --seed=SEED [--mutation=NAME] [--calm] [--shrink=TRIES]
-  soak --mutations [--seeds=N]
+  soak --mutations [--seeds=N] [--jobs=N]
   soak --help
 
 Options:
--- a/tools/measure/owner_routing.cc
+++ b/tools/measure/owner_routing.cc
@@ -23,7 +23,7 @@
 constexpr absl::Duration kFirstTokenAim = absl::Milliseconds(250);
 // As kNearMargin and kNearPart of flow_probe.cc.
 constexpr absl::Duration kNearMargin = absl::Milliseconds(10);
-constexpr int kNearPart = 10;
+constexpr int kNearPart = 20;
 // Long prompts gather on few targets while these finish them within this part
 // of their time; a larger share of it makes reviews wait for one another.
 constexpr int kGatherPart = 16;
@@ -127,7 +127,7 @@
       }
       able.push_back({target, CostOf(reply, is_long), reply.finish});
     }
-    return NearBest(able);
+    return NearBest(able, is_long);
   }
 
   struct Choice {
@@ -137,15 +137,17 @@
   };
 
   // One of the choices close to the least cost, at random.
-  std::optional<size_t> NearBest(const std::vector<Choice>& able) {
+  std::optional<size_t> NearBest(const std::vector<Choice>& able,
+                                 bool is_long) {
     const auto best = std::min_element(
         able.begin(), able.end(),
         [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
     if (best == able.end()) {
       return std::nullopt;
     }
-    const absl::Duration most =
-        best->cost + kNearMargin + best->finish / kNearPart;
+    const absl::Duration part =
+        is_long ? absl::ZeroDuration() : best->finish / kNearPart;
+    const absl::Duration most = best->cost + kNearMargin + part;
     std::vector<size_t> near;
     for (const Choice& it : able) {
       if (it.cost <= most) {
