What is passed on is answered while stopping; the check on poison counts memories

The check on content that kills counted deaths on when every instance that knew of them had ended, which instances that keep nothing can't prevent; it starts anew only then.

--- a/packages/core/src/request/flow_arrival.cc
+++ b/packages/core/src/request/flow_arrival.cc
@@ -144,11 +144,10 @@
 RequestFlow::Verdict RequestFlow::RefuseWhenStopping(absl::Time now,
                                                      ActiveRequest* request) {
   static_cast<void>(now);
-  // A submission that another instance admitted can be redeemed here alone.
-  const bool only_here = !request->forwarded_from.empty() &&
-                         request->spec.ticket.has_value() &&
-                         request->spec.ticket->issuer == self_;
-  if (!stopping_ || only_here) {
+  // What another instance admitted and passed on is redeemed, or answered from
+  // a stopped issuer's records, here alone.
+  const bool passed_on = !request->forwarded_from.empty();
+  if (!stopping_ || passed_on) {
     return std::nullopt;
   }
   return MakeRefusal(Reason::kStopping, kStoppingRetry,
--- a/packages/core/src/request/flow_probe.cc
+++ b/packages/core/src/request/flow_probe.cc
@@ -492,8 +492,10 @@
 void RequestFlow::OnNoCandidate(absl::Time now,
                                 ActiveRequest* r,
                                 Actions* actions) {
-  if (r->sends > 0) {
-    // It has begun: it is not given up while its time lasts.
+  const bool moving = r->last_refusal == Reason::kStopping;
+  if (r->sends > 0 || moving) {
+    // It has begun, or its target's owner is leaving: it is not given up while
+    // its time lasts.
     r->excluded.clear();
     Hold(now, r, config_.retry_pause);
     return;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -96,6 +96,9 @@
   void Observe();
   bool CanReach(const Instance& reader, ManifestRevision revision);
   void Conclude();
+  void CheckDeaths();
+  // Whether some instance knew of a death all the while.
+  bool Remembered(absl::Time since, absl::Time until) const;
   void NoteStatus();
   void Note(const std::string& line);
 
