Request flow: one place each for the key's retry, forwards and unused places

Cause: kKeyRetry stood in two files, and the message that gives an unused place back was spelled out three times. Change: both settings stand in FlowConfig; one function builds the message.

--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -49,6 +49,10 @@
   absl::Duration heartbeat = absl::Seconds(5);
   // How long a broken target may take to show whether it died.
   absl::Duration post_mortem = absl::Milliseconds(1500);
+  // When to send a call again whose key's homes can't all answer for it.
+  absl::Duration key_retry = absl::Seconds(5);
+  // Times that a submission is passed to its ticket's issuer.
+  int max_forwards = 3;
   // Shortest wait for a sign of life of a running stream.
   absl::Duration min_progress = absl::Seconds(3);
 };
--- a/packages/core/src/request/flow_admission.cc
+++ b/packages/core/src/request/flow_admission.cc
@@ -30,6 +30,19 @@
   return kPriorityShort;
 }
 
+// Tells an owner that a place it gave or keeps is not used.
+SendPeer GiveBack(const InstanceId& owner,
+                  const RequestId& request,
+                  AttemptNumber attempt,
+                  const TargetId& target) {
+  AttemptSettled settled;
+  settled.request = request;
+  settled.attempt = attempt;
+  settled.target = target;
+  settled.result = AttemptResult::kNotStarted;
+  return SendPeer{owner, settled};
+}
+
 }  // namespace
 
 void RequestFlow::BeginAdmission(absl::Time now,
@@ -127,13 +140,7 @@
                     [&](const Place& it) { return it.target == reply.target; });
     if (reply.decision != AdmitDecision::kRefused && !holds) {
       actions->push_back(
-          SendPeer{from.id, AttemptSettled{reply.request,
-                                           reply.attempt,
-                                           reply.target,
-                                           AttemptResult::kNotStarted,
-                                           {},
-                                           {},
-                                           {}}});
+          GiveBack(from.id, reply.request, reply.attempt, reply.target));
     }
     return;
   }
@@ -172,13 +179,7 @@
       (r->phase == Phase::kQueued || r->phase == Phase::kAdmitting);
   if (!waits) {
     actions->push_back(
-        SendPeer{from.id, AttemptSettled{ready.request,
-                                         ready.attempt,
-                                         ready.target,
-                                         AttemptResult::kNotStarted,
-                                         {},
-                                         {},
-                                         {}}});
+        GiveBack(from.id, ready.request, ready.attempt, ready.target));
     return;
   }
   // The claim goes to whoever said so, not to whoever ranks first now.
@@ -316,13 +317,7 @@
       r->phase == Phase::kAdmitting || r->phase == Phase::kQueued;
   if (asked && !r->asking.target.empty()) {
     actions->push_back(
-        SendPeer{r->asking.owner, AttemptSettled{r->spec.id,
-                                                 r->attempt,
-                                                 r->asking.target,
-                                                 AttemptResult::kNotStarted,
-                                                 {},
-                                                 {},
-                                                 {}}});
+        GiveBack(r->asking.owner, r->spec.id, r->attempt, r->asking.target));
   }
   const bool ran = result != AttemptResult::kNotStarted;
   for (const Place& it : r->places) {
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -9,8 +9,6 @@
 namespace umbertrail::core {
 namespace {
 
-constexpr absl::Duration kKeyRetry = absl::Seconds(5);
-constexpr int kMaxForwards = 3;
 // A cancel is told again for about as long as a short partition lasts.
 constexpr absl::Duration kFirstCancelRepeat = absl::Seconds(5);
 constexpr int kCancelRepeats = 4;
@@ -142,7 +140,7 @@
       case Phase::kKeyGrants:
         if (std::find(r->key_homes.begin(), r->key_homes.end(), peer) !=
             r->key_homes.end()) {
-          Refuse(now, r, Reason::kNotFresh, kKeyRetry,
+          Refuse(now, r, Reason::kNotFresh, config_.key_retry,
                  "a home of this key can't be reached", actions);
         }
         break;
@@ -224,7 +222,7 @@
       BeginProbing(now, r, actions);
       return;
     case Phase::kKeyGrants:
-      Refuse(now, r, Reason::kNotFresh, kKeyRetry,
+      Refuse(now, r, Reason::kNotFresh, config_.key_retry,
              "a home of this key did not answer", actions);
       return;
     case Phase::kProbing:
@@ -243,7 +241,7 @@
       return;
     case Phase::kForwarded:
       // Passing it again is safe: the issuer runs it once.
-      if (r->asked_successor || r->forward_tries >= kMaxForwards) {
+      if (r->asked_successor || r->forward_tries >= config_.max_forwards) {
         AskSuccessor(now, r, actions);
       } else {
         ForwardToIssuer(now, r, actions);
--- a/packages/core/src/request/flow_once.cc
+++ b/packages/core/src/request/flow_once.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr absl::Duration kKeyWait = absl::Milliseconds(500);
-constexpr absl::Duration kKeyRetry = absl::Seconds(5);
 constexpr absl::Duration kForwardAgain = absl::Seconds(2);
 
 Outcome IssuerGone() {
@@ -180,8 +179,8 @@
   r->phase = Phase::kKeyGrants;
   r->key_homes = KeyHomesOf(r->once_token, *parts_.fleet);
   if (r->key_homes.empty()) {
-    Refuse(now, r, Reason::kNotFresh, kKeyRetry, "no instance is listed",
-           actions);
+    Refuse(now, r, Reason::kNotFresh, config_.key_retry,
+           "no instance is listed", actions);
     return;
   }
   table_.WakeAt(r, now + kKeyWait);
@@ -209,7 +208,7 @@
     return;
   }
   if (reply.decision != KeyGrantDecision::kSeenBefore) {
-    Refuse(now, r, Reason::kNotFresh, kKeyRetry,
+    Refuse(now, r, Reason::kNotFresh, config_.key_retry,
            "a home of this key can't vouch for it yet", actions);
     return;
   }
