Decisions for the platform: tests; the product's own configuration client renamed

Cause: packages/platform named the client of the product's own configuration service; with the adapter in platform/ the two would be mixed up.

--- a/packages/platform/include/umbertrail/platform/client.h
+++ b/packages/confservice/include/umbertrail/confservice/client.h
@@ -1,5 +1,5 @@
-#ifndef UMBERTRAIL_PLATFORM_CLIENT_H_
-#define UMBERTRAIL_PLATFORM_CLIENT_H_
+#ifndef UMBERTRAIL_CONFSERVICE_CLIENT_H_
+#define UMBERTRAIL_CONFSERVICE_CLIENT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +12,7 @@
 #include "umbertrail/core/actions.h"
 #include "umbertrail/core/events.h"
 
-namespace umbertrail::platform {
+namespace umbertrail::confservice {
 
 struct PlatformClientSettings {
   // IP number and port of the configuration service.
@@ -81,6 +81,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace umbertrail::platform
+}  // namespace umbertrail::confservice
 
-#endif  // UMBERTRAIL_PLATFORM_CLIENT_H_
+#endif  // UMBERTRAIL_CONFSERVICE_CLIENT_H_
--- a/packages/platform/src/backoff.h
+++ b/packages/confservice/src/backoff.h
@@ -1,5 +1,5 @@
-#ifndef UMBERTRAIL_PLATFORM_SRC_BACKOFF_H_
-#define UMBERTRAIL_PLATFORM_SRC_BACKOFF_H_
+#ifndef UMBERTRAIL_CONFSERVICE_SRC_BACKOFF_H_
+#define UMBERTRAIL_CONFSERVICE_SRC_BACKOFF_H_
 
 #include <algorithm>
 #include <memory>
@@ -8,7 +8,7 @@
 #include "absl/time/time.h"
 #include "umbertrail/base.h"
 
-namespace umbertrail::platform::detail {
+namespace umbertrail::confservice::detail {
 
 // Exponential back-off with full jitter: each wait is uniform between zero and
 // a limit that doubles, so that many instances do not come back together.
@@ -38,6 +38,6 @@
   const std::unique_ptr<RandomSource> random_;
 };
 
-}  // namespace umbertrail::platform::detail
+}  // namespace umbertrail::confservice::detail
 
-#endif  // UMBERTRAIL_PLATFORM_SRC_BACKOFF_H_
+#endif  // UMBERTRAIL_CONFSERVICE_SRC_BACKOFF_H_
--- a/packages/platform/src/client.cc
+++ b/packages/confservice/src/client.cc
@@ -1,4 +1,4 @@
-#include "umbertrail/platform/client.h"
+#include "umbertrail/confservice/client.h"
 
 #include <algorithm>
 #include <atomic>
@@ -15,7 +15,7 @@
 #include "umbertrail/http.h"
 #include "wire.h"
 
-namespace umbertrail::platform {
+namespace umbertrail::confservice {
 namespace {
 
 constexpr int kStatusOk = 200;
@@ -273,4 +273,4 @@
   return impl_->stats();
 }
 
-}  // namespace umbertrail::platform
+}  // namespace umbertrail::confservice
--- a/packages/platform/src/wire.cc
+++ b/packages/confservice/src/wire.cc
@@ -5,7 +5,7 @@
 
 #include "umbertrail/http/json_fields.h"
 
-namespace umbertrail::platform::detail {
+namespace umbertrail::confservice::detail {
 namespace {
 
 using http::FindField;
@@ -131,4 +131,4 @@
   return answer;
 }
 
-}  // namespace umbertrail::platform::detail
+}  // namespace umbertrail::confservice::detail
--- a/packages/platform/src/wire.h
+++ b/packages/confservice/src/wire.h
@@ -1,5 +1,5 @@
-#ifndef UMBERTRAIL_PLATFORM_SRC_WIRE_H_
-#define UMBERTRAIL_PLATFORM_SRC_WIRE_H_
+#ifndef UMBERTRAIL_CONFSERVICE_SRC_WIRE_H_
+#define UMBERTRAIL_CONFSERVICE_SRC_WIRE_H_
 
 #include <cstdint>
 #include <optional>
@@ -11,7 +11,7 @@
 
 // The configuration service's protocol as JSON; see docs/PROTOCOLS.md.
 
-namespace umbertrail::platform::detail {
+namespace umbertrail::confservice::detail {
 
 // One answer of a watch. A list is left out when the caller named its version.
 struct WatchAnswer {
@@ -26,6 +26,6 @@
 // Nothing when the answer is malformed in any part.
 std::optional<WatchAnswer> ParseWatch(std::string_view body);
 
-}  // namespace umbertrail::platform::detail
+}  // namespace umbertrail::confservice::detail
 
-#endif  // UMBERTRAIL_PLATFORM_SRC_WIRE_H_
+#endif  // UMBERTRAIL_CONFSERVICE_SRC_WIRE_H_
--- a/packages/daemon/src/adapters.h
+++ b/packages/daemon/src/adapters.h
@@ -11,7 +11,7 @@
 #include "umbertrail/daemon/caller_server.h"
 #include "umbertrail/daemon/ports.h"
 #include "umbertrail/peer/peer_links.h"
-#include "umbertrail/platform/client.h"
+#include "umbertrail/confservice/client.h"
 #include "umbertrail/target/client.h"
 #include "umbertrail/telemetry.h"
 
@@ -60,14 +60,14 @@
 
 class PlatformAdapter : public PlatformPort {
  public:
-  explicit PlatformAdapter(platform::PlatformClient* client)
+  explicit PlatformAdapter(confservice::PlatformClient* client)
       : client_(client) {}
   void ReadPart(const core::ReadPart& action) override {
     client_->ReadPart(action);
   }
 
  private:
-  platform::PlatformClient* client_;
+  confservice::PlatformClient* client_;
 };
 
 // Sends through links that are made after their users, before the first send.
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -57,8 +57,8 @@
   return target;
 }
 
-platform::PlatformClientSettings PlatformSettingsOf(const Settings& settings) {
-  platform::PlatformClientSettings platform;
+confservice::PlatformClientSettings PlatformSettingsOf(const Settings& settings) {
+  confservice::PlatformClientSettings platform;
   platform.address = settings.platform_address;
   platform.ca_path = settings.tls_platform_ca;
   return platform;
@@ -182,7 +182,7 @@
   detail::TargetDirectory targets_;
   target::TargetClient target_client_;
   detail::TargetAdapter target_port_{&target_client_};
-  platform::PlatformClient platform_client_;
+  confservice::PlatformClient platform_client_;
   detail::PlatformAdapter platform_port_{&platform_client_};
   // Made by Start(), for their listener must be bound first.
   std::unique_ptr<peer::PeerLinks> links_;
--- a/tests/platform/client_test.cc
+++ b/tests/confservice/client_test.cc
@@ -8,9 +8,9 @@
 #include "absl/synchronization/mutex.h"
 #include "http/fake_server.h"
 #include "target/event_log.h"
-#include "umbertrail/platform.h"
+#include "umbertrail/confservice.h"
 
-namespace umbertrail::platform {
+namespace umbertrail::confservice {
 namespace {
 
 using testing::EventLog;
@@ -201,4 +201,4 @@
 }
 
 }  // namespace
-}  // namespace umbertrail::platform
+}  // namespace umbertrail::confservice
--- /dev/null
+++ b/tests/dispatch/admission_test.cc
@@ -0,0 +1,102 @@
+#include "umbertrail/dispatch/admission.h"
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::dispatch {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+FleetConfig ConfigWithKey(uint64_t version, const std::string& key) {
+  FleetConfig config;
+  config.version = version;
+  Route route;
+  route.host = "a.example";
+  route.prefix = "/x/";
+  route.services = {{ServiceId("s"), 1}};
+  config.routes.push_back(route);
+  route.prefix = "/open/";
+  route.is_public = true;
+  config.routes.push_back(route);
+  config.accounts_by_key[key] = {ClientAccountId("club"), 1};
+  return config;
+}
+
+FleetView ViewAt(absl::Time confirmed) {
+  FleetView view;
+  view.Apply({1, ConfigChange{ConfigWithKey(1, "k1")}}, confirmed);
+  view.Confirm(confirmed);
+  return view;
+}
+
+Refusal RefusalOf(const std::variant<Admitted, Refusal>& result) {
+  REQUIRE(std::holds_alternative<Refusal>(result));
+  return std::get<Refusal>(result);
+}
+
+TEST_CASE("an instance without a configuration denies nothing") {
+  const FleetView view;
+  const auto result = Admit(view, {"a.example", "/x/1", "k1"}, {}, kStart);
+  CHECK(RefusalOf(result) == Refusal::kNoConfig);
+  CHECK(StatusOf(Refusal::kNoConfig, false) == 503);
+}
+
+TEST_CASE("a known key is admitted as its account") {
+  const FleetView view = ViewAt(kStart);
+  const auto result = Admit(view, {"a.example", "/x/1", "k1"}, {}, kStart);
+  REQUIRE(std::holds_alternative<Admitted>(result));
+  CHECK(std::get<Admitted>(result).account->id.text() == "club");
+}
+
+TEST_CASE("unknown keys and routes are denied while the view is confirmed") {
+  const FleetView view = ViewAt(kStart);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/x/1", "k9"}, {}, kStart)) ==
+        Refusal::kBadKey);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/x/1", std::nullopt}, {},
+                        kStart)) == Refusal::kBadKey);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/y/1", "k1"}, {}, kStart)) ==
+        Refusal::kNoRoute);
+}
+
+TEST_CASE("an old view denies nothing that may have been added since") {
+  const FleetView view = ViewAt(kStart);
+  const AdmissionBounds bounds;
+  const absl::Time late = kStart + bounds.denial + absl::Milliseconds(1);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/y/1", "k1"}, bounds, late)) ==
+        Refusal::kConfigUnconfirmed);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/x/1", "k9"}, bounds, late)) ==
+        Refusal::kConfigUnconfirmed);
+}
+
+TEST_CASE("keys are honoured up to the bound of revocation and no longer") {
+  const FleetView view = ViewAt(kStart);
+  const AdmissionBounds bounds;
+  CHECK(std::holds_alternative<Admitted>(Admit(
+      view, {"a.example", "/x/1", "k1"}, bounds, kStart + bounds.revoke)));
+  const absl::Time late = kStart + bounds.revoke + absl::Milliseconds(1);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/x/1", "k1"}, bounds, late)) ==
+        Refusal::kKeysUnconfirmed);
+  CHECK(std::holds_alternative<Admitted>(
+      Admit(view, {"a.example", "/open/1", std::nullopt}, bounds, late)));
+  AdmissionBounds loose;
+  loose.strict_revocation = false;
+  CHECK(std::holds_alternative<Admitted>(
+      Admit(view, {"a.example", "/x/1", "k1"}, loose, late)));
+}
+
+TEST_CASE("what may have run is never said not to have run") {
+  for (const Refusal refusal :
+       {Refusal::kNoConfig, Refusal::kKeysUnconfirmed,
+        Refusal::kConfigUnconfirmed, Refusal::kNoTarget, Refusal::kOverloaded,
+        Refusal::kTimeUsedUp, Refusal::kPoison, Refusal::kTargetFailed,
+        Refusal::kTargetBusy}) {
+    const int status = StatusOf(refusal, /*may_have_run=*/true);
+    CHECK(status != 408);
+    CHECK(status != 421);
+    CHECK(status != 429);
+    CHECK(status != 503);
+  }
+}
+
+}  // namespace
+}  // namespace umbertrail::dispatch
--- /dev/null
+++ b/tests/dispatch/budgets_test.cc
@@ -0,0 +1,84 @@
+#include "umbertrail/dispatch/budgets.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace umbertrail::dispatch {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+TEST_CASE("events leave the count after the window") {
+  SlidingCount count(absl::Seconds(10));
+  count.Add(kStart);
+  count.Add(kStart + absl::Seconds(4));
+  CHECK(count.Count(kStart + absl::Seconds(9)) == 2);
+  CHECK(count.Count(kStart + absl::Seconds(10)) == 1);
+  CHECK(count.Count(kStart + absl::Seconds(14)) == 0);
+}
+
+TEST_CASE("instances that can't hear each other keep the fleet's budget") {
+  // Every instance spends as much as it may, at any time; all of them together
+  // stay within the ratio and the allowance in every window.
+  rc::check([] {
+    constexpr int kInstances = 8;
+    constexpr double kRatio = 0.2;
+    constexpr double kSlack = 102;
+    const absl::Duration window = absl::Seconds(10);
+    std::vector<RetryBudget> budgets(kInstances,
+                                     RetryBudget(kRatio, kSlack, window));
+    SlidingCount requests(window);
+    SlidingCount further(window);
+    absl::Time now = kStart;
+    for (int step = 0; step < 2000; ++step) {
+      now += absl::Milliseconds(*rc::gen::inRange(0, 30));
+      RetryBudget& budget = budgets[*rc::gen::inRange(0, kInstances)];
+      if (*rc::gen::inRange(0, 3) == 0) {
+        budget.NoteRequest(now);
+        requests.Add(now);
+      } else if (budget.Take(now, kInstances)) {
+        further.Add(now);
+      }
+      RC_ASSERT(further.Count(now) <= kRatio * requests.Count(now) + kSlack);
+    }
+  });
+}
+
+TEST_CASE("a budget that is spent comes back with time") {
+  RetryBudget budget(0, 10, absl::Seconds(10));
+  int taken = 0;
+  while (budget.Take(kStart, 1)) {
+    ++taken;
+  }
+  CHECK(taken == 9);
+  CHECK_FALSE(budget.Take(kStart + absl::Seconds(9), 1));
+  CHECK(budget.Take(kStart + absl::Seconds(10), 1));
+}
+
+TEST_CASE("a cold target's bound holds for all instances together") {
+  constexpr int kInstances = 8;
+  constexpr double kFleetRate = 59;
+  std::vector<TargetRate> rates(kInstances);
+  int sent = 0;
+  for (TargetRate& rate : rates) {
+    while (rate.MaySend(kStart, kFleetRate, kInstances)) {
+      rate.NoteSend(kStart);
+      ++sent;
+    }
+  }
+  CHECK(sent <= kFleetRate);
+  CHECK(sent >= kFleetRate / 2);
+}
+
+TEST_CASE("a service that is never cold has no bound") {
+  TargetRate rate;
+  for (int i = 0; i < 1000; ++i) {
+    REQUIRE(rate.MaySend(kStart, 0, 8));
+    rate.NoteSend(kStart);
+  }
+}
+
+}  // namespace
+}  // namespace umbertrail::dispatch
--- /dev/null
+++ b/tests/dispatch/load_board_test.cc
@@ -0,0 +1,69 @@
+#include "umbertrail/dispatch/load_board.h"
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::dispatch {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+const TargetId kTarget("t");
+
+WorkItem Reading() {
+  WorkItem item;
+  item.since = kStart;
+  item.reading = true;
+  return item;
+}
+
+TEST_CASE("a target's work is its own and that of all peers") {
+  LoadBoard board;
+  const WorkId id = board.Begin(kTarget, Reading());
+  board.SetPeer(InstanceId("p"), kTarget, {Reading(), Reading()});
+  CHECK(board.At(kTarget).size() == 3);
+  CHECK(board.OwnAt(kTarget).size() == 1);
+  board.End(id);
+  CHECK(board.At(kTarget).size() == 2);
+  board.SetPeer(InstanceId("p"), kTarget, {});
+  CHECK(board.At(kTarget).empty());
+}
+
+TEST_CASE("a read prompt is told once") {
+  LoadBoard board;
+  const WorkId id = board.Begin(kTarget, Reading());
+  CHECK(board.NoteRead(id));
+  CHECK_FALSE(board.NoteRead(id));
+  CHECK_FALSE(board.At(kTarget).front().reading);
+}
+
+TEST_CASE("changes are named once") {
+  LoadBoard board;
+  int told = 0;
+  board.SetOnChange([&] { ++told; });
+  const WorkId id = board.Begin(kTarget, Reading());
+  CHECK(board.TakeChanged() == std::vector<TargetId>{kTarget});
+  CHECK(board.TakeChanged().empty());
+  board.End(id);
+  CHECK(board.TakeChanged() == std::vector<TargetId>{kTarget});
+  CHECK(told == 2);
+}
+
+TEST_CASE("a peer that falls silent takes its work with it") {
+  LoadBoard board;
+  board.NotePeer(InstanceId("p"), kStart);
+  board.SetPeer(InstanceId("p"), kTarget, {Reading()});
+  board.ForgetSilent(kStart + LoadBoard::kPeerSilence);
+  CHECK(board.At(kTarget).size() == 1);
+  board.ForgetSilent(kStart + LoadBoard::kPeerSilence + absl::Milliseconds(1));
+  CHECK(board.At(kTarget).empty());
+}
+
+TEST_CASE("ending work twice changes nothing") {
+  LoadBoard board;
+  const WorkId id = board.Begin(kTarget, Reading());
+  board.End(id);
+  board.End(id);
+  CHECK(board.OwnTargets().empty());
+}
+
+}  // namespace
+}  // namespace umbertrail::dispatch
--- /dev/null
+++ b/tests/dispatch/placement_test.cc
@@ -0,0 +1,192 @@
+#include "umbertrail/dispatch/placement.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "umbertrail/dispatch/engine_time.h"
+
+namespace umbertrail::dispatch {
+namespace {
+
+const absl::Time kNow = absl::FromUnixSeconds(1000);
+constexpr Tokens kShortPrompt{5000};
+constexpr Tokens kLongPrompt{182000};
+
+EngineModel Engine() {
+  EngineModel engine;
+  engine.slots = 16;
+  engine.memory = Tokens(405000);
+  engine.step_ms = 1.31;
+  engine.writer_ms = 0.001;
+  engine.read_tokens_per_s = 154000;
+  engine.pair_ms_per_million = 0.162;
+  engine.chunk_tokens = 2048;
+  engine.steps_per_pass = 34;
+  engine.usual_answer_tokens = 1266;
+  return engine;
+}
+
+Shape ShortShape() {
+  Shape shape;
+  shape.prompt = kShortPrompt;
+  shape.aim = absl::Milliseconds(300);
+  shape.gap_aim = absl::Milliseconds(250);
+  shape.left = absl::Seconds(10);
+  return shape;
+}
+
+Shape LongShape() {
+  Shape shape;
+  shape.prompt = kLongPrompt;
+  shape.aim = absl::Seconds(3);
+  shape.gap_aim = absl::Seconds(1);
+  shape.left = absl::Seconds(15);
+  return shape;
+}
+
+WorkItem Writing(absl::Duration gap_aim) {
+  WorkItem item;
+  item.since = kNow - absl::Seconds(1);
+  item.gap_aim = gap_aim;
+  item.worth = WorthOf(kShortPrompt);
+  return item;
+}
+
+WorkItem ReadingLong(absl::Duration for_time) {
+  WorkItem item;
+  item.since = kNow - for_time;
+  item.read_time = ReadTime(Engine(), kLongPrompt);
+  item.reading = true;
+  item.worth = WorthOf(kLongPrompt);
+  return item;
+}
+
+Candidate Idle(const std::string& id) {
+  Candidate candidate;
+  candidate.id = TargetId(id);
+  candidate.slots = 16;
+  candidate.near = true;
+  return candidate;
+}
+
+std::string TargetOf(const PlacementResult& result) {
+  return result.placed ? result.placed->target.text() : "none";
+}
+
+PlacementResult PlaceAt(const Shape& shape,
+                        const std::vector<Candidate>& candidates) {
+  const EngineModel engine = Engine();
+  return Place(shape, &engine, candidates, kNow, 0.5);
+}
+
+TEST_CASE("a short prompt avoids a target that reads a long one") {
+  Candidate busy = Idle("busy");
+  busy.work = {ReadingLong(absl::ZeroDuration())};
+  CHECK(TargetOf(PlaceAt(ShortShape(), {busy, Idle("free")})) == "free");
+}
+
+TEST_CASE("short prompts gather, so that other targets stay free") {
+  Candidate writing = Idle("writing");
+  writing.work.assign(6, Writing(absl::Milliseconds(250)));
+  CHECK(TargetOf(PlaceAt(ShortShape(), {Idle("free"), writing})) == "writing");
+}
+
+TEST_CASE("a target whose slots are taken gets no more short prompts") {
+  Candidate full = Idle("full");
+  full.work.assign(16, Writing(absl::Milliseconds(250)));
+  CHECK(TargetOf(PlaceAt(ShortShape(), {full, Idle("free")})) == "free");
+}
+
+TEST_CASE("a long prompt avoids the streams whose pauses it would break") {
+  Candidate writing = Idle("writing");
+  writing.work.assign(6, Writing(absl::Milliseconds(250)));
+  CHECK(TargetOf(PlaceAt(LongShape(), {writing, Idle("free")})) == "free");
+  // Where every target writes, the one with the fewest such streams.
+  Candidate fewer = Idle("fewer");
+  fewer.work.assign(2, Writing(absl::Milliseconds(250)));
+  CHECK(TargetOf(PlaceAt(LongShape(), {writing, fewer})) == "fewer");
+}
+
+TEST_CASE("a prompt that one target can't read in time gets helpers") {
+  const auto alone = PlaceAt(LongShape(), {Idle("a")});
+  REQUIRE(alone.placed);
+  CHECK(alone.placed->helpers.empty());
+  CHECK(alone.placed->first_event > absl::Seconds(3));
+  const auto helped = PlaceAt(LongShape(), {Idle("a"), Idle("b"), Idle("c")});
+  REQUIRE(helped.placed);
+  CHECK_FALSE(helped.placed->helpers.empty());
+  CHECK(helped.placed->first_event < absl::Seconds(3));
+  for (const TargetId& helper : helped.placed->helpers) {
+    CHECK(helper != helped.placed->target);
+  }
+}
+
+TEST_CASE("helpers are not taken from short streams for little") {
+  Candidate writing = Idle("writing");
+  writing.work.assign(15, Writing(absl::Milliseconds(250)));
+  const auto result = PlaceAt(LongShape(), {Idle("free"), writing});
+  REQUIRE(result.placed);
+  CHECK(result.placed->target.text() == "free");
+  CHECK(result.placed->helpers.empty());
+}
+
+TEST_CASE("what can't be served before its caller leaves is refused at once") {
+  Candidate busy = Idle("busy");
+  busy.work = {ReadingLong(absl::ZeroDuration())};
+  const auto result = PlaceAt(ShortShape(), {busy});
+  CHECK_FALSE(result.placed);
+  // A place is free when the prompt is read, less what the caller waits.
+  CHECK(result.retry_after > absl::Seconds(1));
+  CHECK(result.retry_after < absl::Seconds(4));
+}
+
+TEST_CASE("a target that fails, is cold or has no sends left is passed over") {
+  Candidate failing = Idle("failing");
+  failing.failing = 0.5;
+  CHECK(TargetOf(PlaceAt(ShortShape(), {failing, Idle("sound")})) == "sound");
+  Candidate cold = Idle("cold");
+  cold.cold = true;
+  CHECK(TargetOf(PlaceAt(ShortShape(), {cold, Idle("warm")})) == "warm");
+  Candidate spent = Idle("spent");
+  spent.rate_used_up = true;
+  CHECK(TargetOf(PlaceAt(ShortShape(), {spent, Idle("other")})) == "other");
+  CHECK(TargetOf(PlaceAt(ShortShape(), {spent})) == "none");
+}
+
+TEST_CASE("a plain service's least occupied target is chosen") {
+  Candidate busy = Idle("busy");
+  busy.work.assign(3, WorkItem());
+  Candidate less = Idle("less");
+  less.work.assign(1, WorkItem());
+  Shape shape;
+  shape.aim = absl::Milliseconds(150);
+  shape.left = absl::Seconds(1);
+  CHECK(TargetOf(Place(shape, nullptr, {busy, less}, kNow, 0.1)) == "less");
+}
+
+TEST_CASE("prompts that wait are read in the order in which they came") {
+  const std::vector<WorkItem> work = {ReadingLong(absl::Seconds(1)),
+                                      ReadingLong(absl::ZeroDuration())};
+  const absl::Duration one = ReadTime(Engine(), kLongPrompt);
+  const absl::Duration backlog = ReadBacklog(work, 1, kNow);
+  CHECK(absl::ToDoubleSeconds(backlog) ==
+        Approx(absl::ToDoubleSeconds(2 * one) - 1));
+  CHECK(ReadBacklog({}, 1, kNow) == absl::ZeroDuration());
+}
+
+TEST_CASE("equal targets share what is placed") {
+  std::vector<Candidate> candidates;
+  for (int i = 0; i < 5; ++i) {
+    candidates.push_back(Idle(std::string(1, static_cast<char>('a' + i))));
+  }
+  const EngineModel engine = Engine();
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 100; ++i) {
+    ++chosen[TargetOf(
+        Place(ShortShape(), &engine, candidates, kNow, i / 100.0))];
+  }
+  CHECK(chosen.size() == 5);
+}
+
+}  // namespace
+}  // namespace umbertrail::dispatch
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -13,7 +13,7 @@
   local key
   key=$({ cat .clang-tidy "$file"; ninja -C "$build" -t deps 2>/dev/null |
     awk -v f="$file" 'index($0, ": #deps") {on = index($0, f) > 0} on && /^    / {print $1}' |
-    (cd "$build" && grep -E 'packages/|tests/|tools/' | sort -u | xargs -r cat); } | sha256sum | cut -d' ' -f1)
+    (cd "$build" && grep -E 'packages/|platform/|tests/|tools/' | sort -u | xargs -r cat); } | sha256sum | cut -d' ' -f1)
   [ -e "$stamps/$key" ] && return 0
   local out
   if out=$(clang-tidy -p "$build" --quiet "$file" 2>/dev/null); then
@@ -24,5 +24,5 @@
   fi
 }
 export -f lint_one
-git ls-files 'packages/*.cc' 'tests/*.cc' 'tools/*.cc' |
+git ls-files 'packages/*.cc' 'platform/*.cc' 'tests/*.cc' 'tools/*.cc' |
   xargs -P "$jobs" -I{} bash -c 'lint_one {}'
