Event-loop HTTP: tests of its server, client and reader

Strict framing, pieces of any size, mutated bytes (RapidCheck), cut and reset answers, extra bytes, kept connections.

--- /dev/null
+++ b/tests/net/parser_test.cc
@@ -0,0 +1,92 @@
+#include "parser.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace umbertrail::net {
+namespace {
+
+struct Read {
+  bool done = false;
+  bool failed = false;
+  std::string body;
+  std::string target;
+};
+
+// Feeds `bytes` in pieces of `piece` bytes, keeping what isn't taken.
+Read ReadRequestIn(const std::string& bytes, size_t piece) {
+  Read read;
+  MessageReader<true> reader([&](absl::string_view part) {
+    read.body.append(part.data(), part.size());
+  });
+  std::string pending;
+  for (size_t at = 0; at < bytes.size() && !read.failed; at += piece) {
+    pending += bytes.substr(at, piece);
+    boost::beast::error_code error;
+    pending.erase(0, reader.Feed(pending, error));
+    read.failed = static_cast<bool>(error);
+  }
+  read.done = reader.is_done();
+  read.target = reader.request().target;
+  return read;
+}
+
+TEST_CASE("a request reads the same in pieces of any size") {
+  const std::string whole =
+      "POST /a/b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n1a;ext=1\r\nabcdefghijklmnopqrstuvwxyz\r\n0\r\n\r\n";
+  for (size_t piece = 1; piece <= whole.size(); ++piece) {
+    const Read read = ReadRequestIn(whole, piece);
+    REQUIRE_FALSE(read.failed);
+    REQUIRE(read.done);
+    REQUIRE(read.body == "helloabcdefghijklmnopqrstuvwxyz");
+    REQUIRE(read.target == "/a/b");
+  }
+}
+
+TEST_CASE("framing that two readers could see differently is refused") {
+  const char* const kBad[] = {
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+      "Content-Length: 4\r\n\r\nabcd",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+      "Content-Length: 3\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\nHost: x\n\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1x\r\n\r\na",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\na",
+      "POST / HTTP/1.1\r\nHost : x\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "zz\r\nab\r\n0\r\n\r\n",
+  };
+  for (const char* bad : kBad) {
+    CAPTURE(bad);
+    CHECK(ReadRequestIn(bad, 1000).failed);
+  }
+}
+
+TEST_CASE("no bytes upset the reader") {
+  rc::check([] {
+    std::string bytes =
+        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n0\r\n\r\n";
+    const int changes = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < changes; ++i) {
+      const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+      const auto byte = *rc::gen::arbitrary<char>();
+      if (*rc::gen::arbitrary<bool>()) {
+        bytes[at] = byte;
+      } else {
+        bytes.insert(at, 1, byte);
+      }
+    }
+    const size_t piece = *rc::gen::inRange<size_t>(1, 40);
+    const Read read = ReadRequestIn(bytes, piece);
+    RC_ASSERT(read.body.size() <= bytes.size());
+  });
+}
+
+}  // namespace
+}  // namespace umbertrail::net
--- /dev/null
+++ b/tests/net/raw_client.cc
@@ -0,0 +1,108 @@
+#include "net/raw_client.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+#include "absl/strings/numbers.h"
+
+namespace umbertrail::testing {
+namespace {
+
+constexpr size_t kReadSize = 65536;
+
+}  // namespace
+
+RawClient::RawClient(const std::string& address) {
+  const size_t colon = address.find(':');
+  int port = 0;
+  if (!absl::SimpleAtoi(address.substr(colon + 1), &port)) {
+    std::abort();
+  }
+  socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(static_cast<uint16_t>(port));
+  ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
+  if (::connect(socket_, reinterpret_cast<sockaddr*>(&to), sizeof(to)) != 0) {
+    Close();
+  }
+}
+
+RawClient::~RawClient() {
+  Close();
+}
+
+void RawClient::Close() {
+  if (socket_ >= 0) {
+    ::close(socket_);
+  }
+  socket_ = -1;
+}
+
+void RawClient::Send(const std::string& bytes) {
+  size_t sent = 0;
+  while (sent < bytes.size()) {
+    const ssize_t n =
+        ::send(socket_, &bytes[sent], bytes.size() - sent, MSG_NOSIGNAL);
+    if (n <= 0) {
+      return;
+    }
+    sent += static_cast<size_t>(n);
+  }
+}
+
+bool RawClient::ReadSome() {
+  std::string arrived(kReadSize, '\0');
+  const ssize_t n = ::recv(socket_, arrived.data(), arrived.size(), 0);
+  if (n <= 0) {
+    return false;
+  }
+  buffer_.append(arrived, 0, static_cast<size_t>(n));
+  return true;
+}
+
+std::string RawClient::ReadUntil(const std::string& mark) {
+  size_t at = buffer_.find(mark);
+  while (at == std::string::npos && ReadSome()) {
+    at = buffer_.find(mark);
+  }
+  const size_t end =
+      at == std::string::npos ? buffer_.size() : at + mark.size();
+  std::string read = buffer_.substr(0, end);
+  buffer_.erase(0, end);
+  return read;
+}
+
+std::string RawClient::ReadToEnd() {
+  while (ReadSome()) {
+  }
+  std::string read;
+  read.swap(buffer_);
+  return read;
+}
+
+std::string RawClient::ReadAnswer() {
+  std::string answer = ReadUntil("\r\n\r\n");
+  if (answer.find("chunked") != std::string::npos) {
+    return answer + ReadUntil("0\r\n\r\n");
+  }
+  const std::string field = "Content-Length: ";
+  const size_t at = answer.find(field);
+  size_t length = 0;
+  if (at != std::string::npos) {
+    const std::string rest = answer.substr(at + field.size());
+    static_cast<void>(
+        absl::SimpleAtoi(rest.substr(0, rest.find('\r')), &length));
+  }
+  while (buffer_.size() < length && ReadSome()) {
+  }
+  answer += buffer_.substr(0, length);
+  buffer_.erase(0, length);
+  return answer;
+}
+
+}  // namespace umbertrail::testing
--- /dev/null
+++ b/tests/net/server_test.cc
@@ -0,0 +1,201 @@
+#include "umbertrail/net/server.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <thread>
+
+#include "absl/synchronization/notification.h"
+#include "http/fake_server.h"
+#include "net/raw_client.h"
+
+namespace umbertrail::net {
+namespace {
+
+using testing::RawClient;
+
+// A server on a thread of its own.
+class Running {
+ public:
+  explicit Running(HttpServer::Handler handler, ServerLimits limits = {})
+      : address_(testing::RefusingAddress()),
+        loop_(1),
+        server_(loop_, std::move(handler), [this](int status, const char*) {
+          fault_ = status;
+        }) {
+    server_.SetLimits(limits);
+    const auto error = server_.Listen(*ParseEndpoint(address_));
+    REQUIRE_FALSE(error);
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  ~Running() {
+    loop_.stop();
+    thread_.join();
+    server_.CloseAll();
+  }
+
+  const std::string& address() const { return address_; }
+  Loop& loop() { return loop_; }
+  HttpServer& server() { return server_; }
+
+ private:
+  std::string address_;
+  Loop loop_;
+  int fault_ = 0;
+  HttpServer server_;
+  std::thread thread_;
+};
+
+void Echo(const std::shared_ptr<ServerConnection>& client) {
+  ResponseHead head;
+  head.status = 200;
+  head.reason = "OK";
+  client->Answer(std::move(head), client->request().target + *client->body());
+}
+
+std::string StatusLine(const std::string& answer) {
+  return answer.substr(0, answer.find('\r'));
+}
+
+TEST_CASE("requests follow each other on one connection") {
+  Running running(Echo);
+  RawClient client(running.address());
+  client.Send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi");
+  CHECK_THAT(client.ReadAnswer(), Catch::EndsWith("/ahi"));
+  client.Send(
+      "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nyo\r\n0\r\n\r\n");
+  CHECK_THAT(client.ReadAnswer(), Catch::EndsWith("/byo"));
+}
+
+TEST_CASE("requests that are sent ahead are answered in their order") {
+  Running running(Echo);
+  RawClient client(running.address());
+  client.Send(
+      "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK_THAT(client.ReadAnswer(), Catch::EndsWith("/a"));
+  CHECK_THAT(client.ReadAnswer(), Catch::EndsWith("/b"));
+}
+
+TEST_CASE("a client that asks for it is left after its answer") {
+  Running running(Echo);
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK_THAT(client.ReadToEnd(), Catch::EndsWith("/a"));
+}
+
+TEST_CASE("what can't be read unambiguously is refused and never handled") {
+  int handled = 0;
+  Running running([&](std::shared_ptr<ServerConnection> client) {
+    ++handled;
+    Echo(client);
+  });
+  const std::string kBad[] = {
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+      "GET / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\n",
+      "nonsense\r\n\r\n"};
+  for (const std::string& bad : kBad) {
+    RawClient client(running.address());
+    client.Send(bad);
+    CAPTURE(bad);
+    CHECK(StatusLine(client.ReadToEnd()) == "HTTP/1.1 400 Bad Request");
+  }
+  CHECK(handled == 0);
+}
+
+TEST_CASE("heads and bodies over their limits are refused") {
+  ServerLimits limits;
+  limits.max_header_bytes = 200;
+  limits.max_body_bytes = 10;
+  Running running(Echo, limits);
+  RawClient head(running.address());
+  head.Send("GET / HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(300, 'a') +
+            "\r\n\r\n");
+  CHECK_THAT(head.ReadToEnd(), Catch::StartsWith("HTTP/1.1 431"));
+  RawClient body(running.address());
+  body.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n");
+  CHECK_THAT(body.ReadToEnd(), Catch::StartsWith("HTTP/1.1 413"));
+}
+
+TEST_CASE("a head that doesn't end is given up") {
+  ServerLimits limits;
+  limits.header_timeout = absl::Milliseconds(50);
+  Running running(Echo, limits);
+  RawClient client(running.address());
+  client.Send("GET / HTTP/1.1\r\nHost:");
+  CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 408"));
+}
+
+TEST_CASE("an idle connection is closed without an answer") {
+  ServerLimits limits;
+  limits.idle_timeout = absl::Milliseconds(50);
+  Running running(Echo, limits);
+  RawClient client(running.address());
+  CHECK(client.ReadToEnd().empty());
+}
+
+class Watcher : public ClientWatcher {
+ public:
+  void OnClientGone() override { gone.Notify(); }
+  void OnClientProgress() override {}
+  absl::Notification gone;
+};
+
+TEST_CASE("a client that leaves before its answer is noticed") {
+  const auto watcher = std::make_shared<Watcher>();
+  Running running([&](std::shared_ptr<ServerConnection> client) {
+    client->Watch(watcher);
+  });
+  {
+    RawClient client(running.address());
+    client.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  watcher->gone.WaitForNotification();
+  SUCCEED();
+}
+
+TEST_CASE("a cut answer never looks complete") {
+  Running running([](std::shared_ptr<ServerConnection> client) {
+    ResponseHead head;
+    head.status = 200;
+    client->BeginAnswer(head);
+    client->SendBody("part");
+    client->Cut();
+  });
+  RawClient client(running.address());
+  client.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK_THAT(client.ReadToEnd(), !Catch::EndsWith("0\r\n\r\n"));
+}
+
+TEST_CASE("an old client gets its answer to the end of the connection") {
+  Running running([](std::shared_ptr<ServerConnection> client) {
+    ResponseHead head;
+    head.status = 200;
+    client->BeginAnswer(head);
+    client->SendBody("all");
+    client->Finish();
+  });
+  RawClient client(running.address());
+  client.Send("GET / HTTP/1.0\r\nHost: x\r\n\r\n");
+  const std::string answer = client.ReadToEnd();
+  CHECK_THAT(answer, Catch::EndsWith("\r\n\r\nall"));
+  CHECK_THAT(answer, !Catch::Contains("chunked"));
+}
+
+TEST_CASE("while draining each answer asks its client to leave") {
+  Running running(Echo);
+  running.server().StartDraining();
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  const std::string answer = client.ReadToEnd();
+  CHECK_THAT(answer, Catch::Contains("Connection: close"));
+  CHECK_THAT(answer, Catch::EndsWith("/a"));
+}
+
+}  // namespace
+}  // namespace umbertrail::net
