--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -26,6 +26,9 @@
   // Serves until a planned stop is over. An error when an address can't be
   // used.
   Result<Done> Run();
+  // Begins a planned stop, as SIGTERM does, or cuts one short that has begun;
+  // from any thread.
+  void RequestStop();
 
  private:
   std::optional<std::string> Listen();
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -1,5 +1,6 @@
 #include "umbertrail/front/front.h"
 
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -169,9 +170,15 @@
     ReloadSettings();
   } else if (!stopping_) {
     BeginStop();
+  } else {
+    End();  // Asked a second time.
   }
 }
 
+void Front::RequestStop() {
+  boost::asio::post(loop_, [this] { OnSignal(SIGTERM); });
+}
+
 void Front::BeginStop() {
   stopping_ = true;
   stop_began_ = BootNow();
--- /dev/null
+++ b/tests/adapter/node_settings_test.cc
@@ -0,0 +1,72 @@
+#include "platform/node_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::adapter {
+namespace {
+
+constexpr char kSample[] = R"(
+node_name: "front-1"
+zone: "east"
+ip: "10.1.0.40"
+listen:
+  front: "10.1.0.40:8227"
+  ready: "10.1.0.40:8220"
+  control: "10.1.0.40:8229"
+internal_ports:
+  - 7340
+  - 7355
+seeds:
+  - "10.1.0.40:8229"
+  - "10.2.0.29:8229"
+data_dir: null
+unknown_key: 7
+bounds:
+  grace_s: 8
+  revoke_strict: true
+  revoke_ms: 4500
+  retry_budget_ratio: 0.2
+  budget_window_s: 10
+  budget_slack: 102
+platform:
+  address: "10.200.1.7:8223"
+)";
+
+TEST_CASE("settings are read with their units") {
+  const SettingsRead read = ReadSettings(kSample);
+  CHECK(read.faults.empty());
+  const InstanceSettings& settings = read.settings;
+  CHECK(settings.name.text() == "front-1");
+  CHECK(settings.data_centre.text() == "east");
+  CHECK(settings.peer_port == 7340);
+  CHECK(settings.seeds.size() == 2);
+  CHECK(settings.revoke == absl::Milliseconds(4500));
+  CHECK(settings.grace == absl::Seconds(8));
+  CHECK(settings.retry_slack == 102);
+  // Not stated: the default stays.
+  CHECK(settings.cold_overage == 1.5);
+}
+
+TEST_CASE("every fault is named with its key") {
+  const SettingsRead read = ReadSettings(R"(
+node_name: "front-1"
+zone: "east"
+listen: {front: "10.1.0.40:8227", ready: ["x"]}
+internal_ports: "none"
+bounds: {grace_s: -1}
+)");
+  const std::vector<std::string> expected = {
+      "ip: missing", "listen.ready: unexpected type",
+      "internal_ports: unexpected type", "platform.address: missing",
+      "bounds.grace_s: is negative"};
+  CHECK(read.faults == expected);
+}
+
+TEST_CASE("what isn't a table of settings is refused") {
+  CHECK_FALSE(ReadSettings("").faults.empty());
+  CHECK_FALSE(ReadSettings("a: [").faults.empty());
+  CHECK_FALSE(ReadSettings("- 1").faults.empty());
+}
+
+}  // namespace
+}  // namespace umbertrail::adapter
--- /dev/null
+++ b/tests/adapter/request_codec_test.cc
@@ -0,0 +1,145 @@
+#include "platform/request_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::adapter {
+namespace {
+
+net::RequestHead SampleRequest() {
+  net::RequestHead head;
+  head.method = "POST";
+  head.target = "/x/2f?q=1";
+  head.headers.Add("Host", "a.example");
+  head.headers.Add("X-Attempt-Id", "9c41");
+  head.headers.Add("X-Model", "m");
+  head.headers.Add("X-Token-Counts", "1460,80");
+  head.headers.Add("X-Prompt-Prefix", "5c1e07a2:800");
+  head.headers.Add("X-Deadline-Ms", "10000");
+  head.headers.Add("Authorization", "Token k1");
+  return head;
+}
+
+RequestFacts FactsOf(const net::RequestHead& head) {
+  const auto read = ReadRequest(head);
+  REQUIRE(std::holds_alternative<RequestFacts>(read));
+  return std::get<RequestFacts>(read);
+}
+
+TEST_CASE("a request's headers become facts") {
+  const net::RequestHead head = SampleRequest();
+  const RequestFacts facts = FactsOf(head);
+  CHECK(facts.id.text() == "9c41");
+  CHECK(facts.host == "a.example");
+  CHECK(facts.time_left == absl::Seconds(10));
+  CHECK(facts.prompt == Tokens(1460));
+  REQUIRE(facts.key);
+  CHECK(*facts.key == "k1");
+}
+
+TEST_CASE("a request without a time, tokens or key has none") {
+  net::RequestHead head;
+  head.target = "/";
+  head.headers.Add("Host", "a.example");
+  const RequestFacts facts = FactsOf(head);
+  CHECK(facts.time_left == absl::InfiniteDuration());
+  CHECK(facts.prompt == Tokens(0));
+  CHECK_FALSE(facts.key);
+}
+
+TEST_CASE("headers that decide the request's fate stand once") {
+  for (const char* name : {"X-Attempt-Id", "X-Deadline-Ms", "Authorization"}) {
+    net::RequestHead head = SampleRequest();
+    head.headers.Add(name, "other");
+    CHECK(std::holds_alternative<std::string>(ReadRequest(head)));
+  }
+  net::RequestHead head = SampleRequest();
+  head.headers.Remove("X-Deadline-Ms");
+  head.headers.Add("X-Deadline-Ms", "soon");
+  CHECK(std::holds_alternative<std::string>(ReadRequest(head)));
+}
+
+TEST_CASE("a runner sees the client's request, its account and no key") {
+  net::RequestHead from = SampleRequest();
+  from.headers.Add("X-Tenant", "forged");
+  from.headers.Add("X-Expect-Instance", "forged");
+  from.headers.Add("X-Helpers", "10.0.0.1:1");
+  from.headers.Add("X-Request-Urgency", "0");
+  from.headers.Add("Connection", "X-Secret");
+  from.headers.Add("X-Secret", "1");
+  SendFacts facts;
+  facts.target = TargetId("i-7f");
+  facts.account = ClientAccountId("club");
+  facts.time_left = absl::Milliseconds(9876.5);
+  facts.helpers = {{"10.2.64.3:8080", "t81"}, {"10.2.64.5:8080", ""}};
+  const net::RequestHead head = WriteRequest(from, facts);
+  const auto value = [&](const char* name) {
+    const std::string* found = head.headers.Find(name);
+    return found == nullptr ? std::string("none") : *found;
+  };
+  CHECK(head.method == "POST");
+  CHECK(head.target == "/x/2f?q=1");
+  CHECK(value("X-Attempt-Id") == "9c41");
+  CHECK(value("X-Prompt-Prefix") == "5c1e07a2:800");
+  CHECK(value("X-Tenant") == "club");
+  CHECK(value("X-Expect-Instance") == "i-7f");
+  CHECK(value("X-Deadline-Ms") == "9876");
+  CHECK(value("X-Helpers") == "10.2.64.3:8080/t81,10.2.64.5:8080");
+  for (const char* dropped :
+       {"Authorization", "X-Request-Urgency", "X-Secret", "Connection"}) {
+    CAPTURE(dropped);
+    CHECK(value(dropped) == "none");
+  }
+  for (const char* single :
+       {"X-Tenant", "X-Expect-Instance", "X-Deadline-Ms", "X-Helpers"}) {
+    CHECK(head.headers.Count(single) == 1);
+  }
+}
+
+TEST_CASE("on a public route no account is claimed, not even a forged one") {
+  net::RequestHead from = SampleRequest();
+  from.headers.Add("X-Tenant", "forged");
+  const net::RequestHead head = WriteRequest(from, {});
+  CHECK(head.headers.Find("X-Tenant") == nullptr);
+}
+
+TEST_CASE("a stream is continued where the product says") {
+  net::RequestHead from = SampleRequest();
+  from.headers.Add("Last-Event-Id", "3");
+  CHECK(*WriteRequest(from, {}).headers.Find("Last-Event-Id") == "3");
+  SendFacts facts;
+  facts.last_event = "12";
+  const net::RequestHead head = WriteRequest(from, facts);
+  CHECK(head.headers.Count("Last-Event-Id") == 1);
+  CHECK(*head.headers.Find("Last-Event-Id") == "12");
+}
+
+TEST_CASE("an answer says whose it is and whether anything ran") {
+  net::ResponseHead head;
+  head.status = 200;
+  head.headers.Add("X-Attempt-Id", "9c41");
+  CHECK(ReadAnswer(head, RequestId("9c41")).is_ours);
+  CHECK_FALSE(ReadAnswer(head, RequestId("other")).is_ours);
+  CHECK_FALSE(ReadAnswer(head, RequestId("9c41")).not_run);
+  net::ResponseHead busy;
+  busy.status = 503;
+  CHECK_FALSE(ReadAnswer(busy, RequestId("9c41")).not_run);
+  busy.headers.Add("X-Not-Executed", "1");
+  CHECK(ReadAnswer(busy, RequestId("9c41")).not_run);
+  net::ResponseHead other;
+  other.status = 421;
+  CHECK(ReadAnswer(other, RequestId("9c41")).wrong_runner);
+  CHECK(ReadAnswer(other, RequestId("9c41")).not_run);
+}
+
+TEST_CASE("another request's answer doesn't say that ours has not run") {
+  net::ResponseHead late;
+  late.status = 503;
+  late.headers.Add("X-Not-Executed", "1");
+  late.headers.Add("X-Attempt-Id", "other");
+  CHECK_FALSE(ReadAnswer(late, RequestId("9c41")).not_run);
+  late.status = 421;
+  CHECK_FALSE(ReadAnswer(late, RequestId("9c41")).not_run);
+}
+
+}  // namespace
+}  // namespace umbertrail::adapter
--- a/tests/dispatch/budgets_test.cc
+++ b/tests/dispatch/budgets_test.cc
@@ -22,7 +22,7 @@
 TEST_CASE("instances that can't hear each other keep the fleet's budget") {
   // Every instance spends as much as it may, at any time; all of them together
   // stay within the ratio and the allowance in every window.
-  rc::check([] {
+  CHECK(rc::check([] {
     constexpr int kInstances = 8;
     constexpr double kRatio = 0.2;
     constexpr double kSlack = 102;
@@ -43,7 +43,7 @@
       }
       RC_ASSERT(further.Count(now) <= kRatio * requests.Count(now) + kSlack);
     }
-  });
+  }));
 }
 
 TEST_CASE("a budget that is spent comes back with time") {
--- /dev/null
+++ b/tests/front/front_test.cc
@@ -0,0 +1,386 @@
+#include "umbertrail/front/front.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "front/running_front.h"
+#include "front/stand_in_store.h"
+#include "net/raw_client.h"
+
+// A whole instance between a client, scripted targets and a stand-in of the
+// platform's store.
+
+namespace umbertrail::front {
+namespace {
+
+using testing::FakeConnection;
+using testing::FakeServer;
+using testing::PlatformRequest;
+using testing::RawClient;
+using testing::RunningFront;
+using testing::StandInStore;
+
+// The value of a header in a request or answer, or "none".
+std::string HeaderOf(const std::string& message, const std::string& name) {
+  const std::string mark = absl::StrCat("\r\n", name, ": ");
+  const size_t at = message.find(mark);
+  if (at == std::string::npos) {
+    return "none";
+  }
+  const std::string rest = message.substr(at + mark.size());
+  return rest.substr(0, rest.find('\r'));
+}
+
+std::string EchoId(const std::string& request) {
+  return absl::StrCat("X-Attempt-Id: ", HeaderOf(request, "X-Attempt-Id"),
+                      "\r\nX-Response-Seal: seal\r\n");
+}
+
+std::string WholeAnswer(const std::string& request, const std::string& body) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
+                      "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+std::string StreamHead(const std::string& request) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
+                      "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+std::string Chunk(const std::string& bytes) {
+  return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+}
+
+std::string Event(int id) {
+  return absl::StrCat("id: ", id, "\ndata: e", id, "\n\n");
+}
+
+// A store, targets that all follow one script, and an instance.
+class Fleet {
+ public:
+  using Script = std::function<void(FakeConnection&, const std::string&)>;
+
+  explicit Fleet(int targets, Script script) : script_(std::move(script)) {
+    store_.Put("op/config", testing::SampleConfig(1));
+    for (int i = 0; i < targets; ++i) {
+      targets_.push_back(std::make_unique<FakeServer>(
+          [this](FakeConnection& connection) { Serve(connection); }));
+      PutTarget(i, "ready");
+    }
+  }
+
+  void PutTarget(int i, const std::string& state) {
+    store_.Put(absl::StrCat("servers/t", i),
+               testing::ServerEntry(targets_[static_cast<size_t>(i)]->address(),
+                                    state));
+  }
+
+  StandInStore& store() { return store_; }
+  std::vector<std::string> requests() const {
+    absl::MutexLock lock(&mutex_);
+    return requests_;
+  }
+
+ private:
+  void Serve(FakeConnection& connection) {
+    while (true) {
+      const std::string request = connection.ReadRequest();
+      if (request.empty()) {
+        return;
+      }
+      {
+        absl::MutexLock lock(&mutex_);
+        requests_.push_back(request);
+      }
+      script_(connection, request);
+    }
+  }
+
+  Script script_;
+  StandInStore store_;
+  mutable absl::Mutex mutex_;
+  std::vector<std::string> requests_;
+  std::vector<std::unique_ptr<FakeServer>> targets_;
+};
+
+std::string Ask(const std::string& address, const std::string& request) {
+  RawClient client(address);
+  client.Send(request);
+  return client.ReadAnswer();
+}
+
+void AnswerOk(FakeConnection& connection, const std::string& request) {
+  connection.Write(WholeAnswer(request, "done"));
+}
+
+TEST_CASE("a request reaches its target and the answer comes back unchanged") {
+  Fleet fleet(1, AnswerOk);
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/safe/x?q=1", "id1", "k1"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200 OK"));
+  CHECK_THAT(answer, Catch::EndsWith("\r\n\r\ndone"));
+  CHECK(HeaderOf(answer, "X-Response-Seal") == "seal");
+  REQUIRE(fleet.requests().size() == 1);
+  const std::string request = fleet.requests().front();
+  CHECK_THAT(request, Catch::StartsWith("POST /safe/x?q=1 HTTP/1.1\r\n"));
+  CHECK_THAT(request, Catch::EndsWith("\r\n\r\nbody"));
+  CHECK(HeaderOf(request, "X-Tenant") == "club");
+  CHECK(HeaderOf(request, "X-Expect-Instance") == "t0");
+  CHECK(HeaderOf(request, "Authorization") == "none");
+}
+
+TEST_CASE("what no configuration allows is denied, and never sent") {
+  Fleet fleet(1, AnswerOk);
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/safe/x", "id1", "k9")),
+             Catch::StartsWith("HTTP/1.1 401"));
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/other/x", "id2", "k1")),
+             Catch::StartsWith("HTTP/1.1 404"));
+  CHECK(fleet.requests().empty());
+}
+
+TEST_CASE("an instance that knows no configuration isn't ready and says 503") {
+  StandInStore store;
+  RunningFront front(testing::LoopbackSettings(store));
+  front.AwaitListening();
+  CHECK_FALSE(front.IsReady());
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/safe/x", "id1", "k1"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503"));
+  CHECK(HeaderOf(answer, "Retry-After") != "none");
+}
+
+TEST_CASE("an unsafe request that broke off gets 502 and isn't repeated") {
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
+                                  "Transfer-Encoding: chunked\r\n\r\n",
+                                  Chunk("abc"), "not a chunk\r\n"));
+    connection.AwaitClose();
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 502"));
+  CHECK(fleet.requests().size() == 1);
+}
+
+TEST_CASE("a safe request is tried at another target") {
+  std::atomic<int> runs{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    if (runs++ == 0) {
+      connection.Write("HTTP/1.1 500 X\r\n" + EchoId(request) +
+                       "Content-Length: 0\r\n\r\n");
+    } else {
+      connection.Write(WholeAnswer(request, "done"));
+    }
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/safe/x", "id1", "k1")),
+             Catch::EndsWith("done"));
+  REQUIRE(fleet.requests().size() == 2);
+  CHECK(HeaderOf(fleet.requests()[0], "X-Expect-Instance") !=
+        HeaderOf(fleet.requests()[1], "X-Expect-Instance"));
+}
+
+TEST_CASE(
+    "a target that states that nothing ran lets an unsafe one answer 503") {
+  Fleet fleet(2, [](FakeConnection& connection, const std::string&) {
+    connection.Write(
+        "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n");
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 503"));
+  CHECK(fleet.requests().size() == 1);
+}
+
+TEST_CASE("another request's answer is never passed on") {
+  Fleet fleet(1, [](FakeConnection& connection, const std::string&) {
+    connection.Write(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n"
+        "Content-Length: 6\r\n\r\nsecret");
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/once/x", "id1", "k1"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 502"));
+  CHECK_THAT(answer, !Catch::Contains("secret"));
+}
+
+TEST_CASE("a stream that breaks inside an event goes on at another target") {
+  std::atomic<int> runs{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    connection.Write(StreamHead(request));
+    if (runs++ == 0) {
+      connection.Write(Chunk(Event(1)));
+      connection.Write(Chunk("id: 2\nda"));
+      connection.Write("not a chunk\r\n");
+      connection.AwaitClose();
+      return;
+    }
+    connection.Write(Chunk(Event(2)) + Chunk(Event(3)) + "0\r\n\r\n");
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/stream/x", "id1", "k1"));
+  CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK_THAT(answer,
+             Catch::EndsWith(Chunk(Event(1)) + Chunk(Event(2) + Event(3)) +
+                             "0\r\n\r\n") ||
+                 Catch::EndsWith(Chunk(Event(1)) + Chunk(Event(2)) +
+                                 Chunk(Event(3)) + "0\r\n\r\n"));
+  REQUIRE(fleet.requests().size() == 2);
+  CHECK(HeaderOf(fleet.requests()[0], "Last-Event-Id") == "none");
+  CHECK(HeaderOf(fleet.requests()[1], "Last-Event-Id") == "1");
+}
+
+TEST_CASE("a client that leaves takes its request from the target") {
+  absl::Notification left;
+  Fleet fleet(1, [&](FakeConnection& connection, const std::string&) {
+    connection.AwaitClose();
+    left.Notify();
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  {
+    RawClient client(front.callers());
+    client.Send(PlatformRequest("/stream/x", "id1", "k1"));
+    while (fleet.requests().empty()) {
+      absl::SleepFor(absl::Milliseconds(5));
+    }
+  }
+  left.WaitForNotification();
+  SUCCEED();
+}
+
+TEST_CASE("a target that drains gets nothing more") {
+  Fleet fleet(2, AnswerOk);
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  fleet.PutTarget(0, "draining");
+  // The change is in force when a request that would go there goes elsewhere;
+  // a marker route of the next configuration shows that it has been read.
+  fleet.store().Put("op/config", testing::SampleConfig(2));
+  absl::SleepFor(absl::Milliseconds(300));
+  for (int i = 0; i < 10; ++i) {
+    CHECK_THAT(Ask(front.callers(),
+                   PlatformRequest("/safe/x", absl::StrCat("id", i), "k1")),
+               Catch::EndsWith("done"));
+  }
+  for (const std::string& request : fleet.requests()) {
+    CHECK(HeaderOf(request, "X-Expect-Instance") == "t1");
+  }
+}
+
+TEST_CASE("keys aren't honoured on what the store hasn't confirmed lately") {
+  Fleet fleet(1, AnswerOk);
+  adapter::InstanceSettings settings = testing::LoopbackSettings(fleet.store());
+  settings.revoke = absl::Milliseconds(500);
+  RunningFront front(settings);
+  front.AwaitReady();
+  fleet.store().SetSilent(true);
+  std::string answer;
+  do {
+    answer = Ask(front.callers(), PlatformRequest("/safe/x", "id1", "k1"));
+  } while (absl::StartsWith(answer, "HTTP/1.1 200"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503"));
+  fleet.store().SetSilent(false);
+  do {
+    answer = Ask(front.callers(), PlatformRequest("/safe/x", "id2", "k1"));
+  } while (!absl::StartsWith(answer, "HTTP/1.1 200"));
+  SUCCEED();
+}
+
+TEST_CASE("after the store has lost its history all is read again") {
+  Fleet fleet(2, AnswerOk);
+  fleet.store().SetPageSize(1);
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  fleet.store().Delete("servers/t0");
+  fleet.store().ForgetHistory();
+  absl::SleepFor(absl::Milliseconds(300));
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/safe/x", "id1", "k1")),
+             Catch::EndsWith("done"));
+  CHECK(HeaderOf(fleet.requests().back(), "X-Expect-Instance") == "t1");
+}
+
+TEST_CASE("a planned stop finishes what runs and turns to not ready at once") {
+  absl::Notification release;
+  Fleet fleet(1, [&](FakeConnection& connection, const std::string& request) {
+    release.WaitForNotification();
+    connection.Write(WholeAnswer(request, "done"));
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  RawClient client(front.callers());
+  client.Send(PlatformRequest("/once/x", "id1", "k1"));
+  while (fleet.requests().empty()) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  front.RequestStop();
+  while (front.IsReady()) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  release.Notify();
+  const std::string answer = client.ReadAnswer();
+  CHECK_THAT(answer, Catch::EndsWith("done"));
+  CHECK(HeaderOf(answer, "Connection") == "close");
+  front.AwaitEnd();
+}
+
+TEST_CASE("instances tell each other what they run") {
+  // Both see one target with one slot; while one instance's request runs
+  // there, the other's goes to the second target.
+  absl::Notification release;
+  std::atomic<int> running{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    ++running;
+    release.WaitForNotification();
+    connection.Write(WholeAnswer(request, "done"));
+  });
+  adapter::InstanceSettings one = testing::LoopbackSettings(fleet.store());
+  adapter::InstanceSettings two = testing::LoopbackSettings(fleet.store());
+  two.ip = "127.0.0.2";
+  two.peer_port = one.peer_port;
+  one.seeds = two.seeds = {"127.0.0.1:1", "127.0.0.2:1"};
+  RunningFront first(one);
+  RunningFront second(two);
+  first.AwaitReady();
+  second.AwaitReady();
+  absl::SleepFor(absl::Milliseconds(900));  // Two heartbeats.
+  RawClient a(first.callers());
+  a.Send(PlatformRequest("/once/x", "id1", "k1"));
+  while (running < 1) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  absl::SleepFor(absl::Milliseconds(100));
+  RawClient b(second.callers());
+  b.Send(PlatformRequest("/once/x", "id2", "k1"));
+  while (running < 2) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  const auto requests = fleet.requests();
+  CHECK(HeaderOf(requests[0], "X-Expect-Instance") !=
+        HeaderOf(requests[1], "X-Expect-Instance"));
+  release.Notify();
+  CHECK_THAT(a.ReadAnswer(), Catch::EndsWith("done"));
+  CHECK_THAT(b.ReadAnswer(), Catch::EndsWith("done"));
+}
+
+}  // namespace
+}  // namespace umbertrail::front
--- /dev/null
+++ b/tests/front/running_front.h
@@ -0,0 +1,55 @@
+#ifndef UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
+#define UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "front/stand_in_store.h"
+#include "umbertrail/front/front.h"
+
+namespace umbertrail::testing {
+
+// Settings of one instance on loopback, with free ports.
+adapter::InstanceSettings LoopbackSettings(const StandInStore& store);
+
+// One instance on a thread of its own.
+class RunningFront {
+ public:
+  // Log lines go nowhere.
+  explicit RunningFront(const adapter::InstanceSettings& settings);
+  // Ends the instance at once.
+  ~RunningFront();
+
+  const std::string& callers() const { return settings_.callers_address; }
+  const std::string& readiness() const { return settings_.readiness_address; }
+  // Returns when the instance says that it is ready.
+  void AwaitReady() const;
+  // Returns when the instance answers questions.
+  void AwaitListening() const;
+  bool IsReady() const;
+  void RequestStop() { front_->RequestStop(); }
+  // Returns when the instance has ended by itself.
+  void AwaitEnd();
+
+ private:
+  adapter::InstanceSettings settings_;
+  int log_fd_;
+  std::unique_ptr<front::Front> front_;
+  std::thread thread_;
+};
+
+// A configuration with one service "llm", routes /safe/, /once/ and /stream/ on
+// host "a.example", and one key "k1" of account "club".
+std::string SampleConfig(int version);
+// A target's entry of that service.
+std::string ServerEntry(const std::string& address, const std::string& state);
+// A request with the platform's headers.
+std::string PlatformRequest(const std::string& path,
+                            const std::string& attempt_id,
+                            const std::string& key);
+
+}  // namespace umbertrail::testing
+
+#endif  // UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
--- /dev/null
+++ b/tests/front/stand_in_store.cc
@@ -0,0 +1,155 @@
+#include "front/stand_in_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace umbertrail::testing {
+namespace {
+
+using nlohmann::json;
+
+// How long a watch waits for a change, shorter than the real store's.
+constexpr absl::Duration kWatchWait = absl::Milliseconds(100);
+
+std::string QueryValue(const std::string& target, const std::string& name) {
+  const size_t at = target.find(name + "=");
+  if (at == std::string::npos) {
+    return "";
+  }
+  const std::string rest = target.substr(at + name.size() + 1);
+  return rest.substr(0, rest.find_first_of("& "));
+}
+
+std::string Unescape(const std::string& text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      out += absl::HexStringToBytes(text.substr(i + 1, 2));
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+StandInStore::StandInStore()
+    : server_(std::make_unique<FakeServer>(
+          [this](FakeConnection& connection) { Serve(connection); })) {}
+
+StandInStore::~StandInStore() {
+  {
+    absl::MutexLock lock(&mutex_);
+    ending_ = true;
+  }
+  server_.reset();
+}
+
+void StandInStore::Put(const std::string& key, const std::string& value) {
+  absl::MutexLock lock(&mutex_);
+  items_[key] = {value, ++revision_, false};
+}
+
+void StandInStore::Delete(const std::string& key) {
+  absl::MutexLock lock(&mutex_);
+  items_[key] = {"", ++revision_, true};
+}
+
+void StandInStore::SetSilent(bool silent) {
+  absl::MutexLock lock(&mutex_);
+  silent_ = silent;
+}
+
+void StandInStore::ForgetHistory() {
+  absl::MutexLock lock(&mutex_);
+  oldest_ = ++revision_;
+}
+
+void StandInStore::SetPageSize(size_t items) {
+  absl::MutexLock lock(&mutex_);
+  page_size_ = items;
+}
+
+void StandInStore::Serve(FakeConnection& connection) {
+  while (true) {
+    const std::string request = connection.ReadRequest();
+    if (request.empty()) {
+      return;
+    }
+    bool silent = false;
+    {
+      absl::MutexLock lock(&mutex_);
+      silent = silent_;
+    }
+    if (silent) {
+      connection.AwaitClose();
+      return;
+    }
+    connection.Write(Answer(request.substr(0, request.find('\r'))));
+  }
+}
+
+std::string StandInStore::Answer(const std::string& target) {
+  absl::MutexLock lock(&mutex_);
+  if (target.find("/kv-range") != std::string::npos) {
+    return HttpAnswer(200, Page(Unescape(QueryValue(target, "after"))));
+  }
+  uint64_t after = 0;
+  if (!absl::SimpleAtoi(QueryValue(target, "after"), &after)) {
+    return HttpAnswer(400, "");
+  }
+  if (after < oldest_) {
+    return HttpAnswer(410, "");
+  }
+  const auto changed = [&] {
+    mutex_.AssertHeld();
+    return revision_ > after || ending_ || silent_;
+  };
+  mutex_.AwaitWithTimeout(absl::Condition(&changed), kWatchWait);
+  return HttpAnswer(200, Events(after));
+}
+
+std::string StandInStore::Page(const std::string& after) const {
+  json items = json::array();
+  bool more = false;
+  for (auto it = items_.upper_bound(after); it != items_.end(); ++it) {
+    if (it->second.deleted) {
+      continue;
+    }
+    if (items.size() == page_size_) {
+      more = true;
+      break;
+    }
+    items.push_back({{"key", it->first},
+                     {"value", absl::Base64Escape(it->second.value)},
+                     {"revision", it->second.revision}});
+  }
+  const json page = {
+      {"items", items}, {"more_pages", more}, {"store_revision", revision_}};
+  return page.dump();
+}
+
+std::string StandInStore::Events(uint64_t after) const {
+  json events = json::array();
+  for (const auto& [key, item] : items_) {
+    if (item.revision <= after) {
+      continue;
+    }
+    if (item.deleted) {
+      events.push_back(
+          {{"key", key}, {"revision", item.revision}, {"deleted", true}});
+    } else {
+      events.push_back({{"key", key},
+                        {"value", absl::Base64Escape(item.value)},
+                        {"revision", item.revision}});
+    }
+  }
+  return json({{"events", events}, {"store_revision", revision_}}).dump();
+}
+
+}  // namespace umbertrail::testing
--- /dev/null
+++ b/tests/front/stand_in_store.h
@@ -0,0 +1,57 @@
+#ifndef UMBERTRAIL_TESTS_FRONT_STAND_IN_STORE_H_
+#define UMBERTRAIL_TESTS_FRONT_STAND_IN_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "http/fake_server.h"
+
+namespace umbertrail::testing {
+
+// The platform's store in small: items with revisions, whole readings in pages
+// and watches. It can fall silent or forget its history.
+class StandInStore {
+ public:
+  StandInStore();
+  ~StandInStore();
+
+  std::string address() const { return server_->address(); }
+  void Put(const std::string& key, const std::string& value);
+  void Delete(const std::string& key);
+  // While silent, questions are read and never answered.
+  void SetSilent(bool silent);
+  // Watches from before now are answered with 410.
+  void ForgetHistory();
+  // Items on one page.
+  void SetPageSize(size_t items);
+
+ private:
+  struct Item {
+    std::string value;
+    uint64_t revision = 0;
+    bool deleted = false;
+  };
+  void Serve(FakeConnection& connection);
+  std::string Answer(const std::string& target);
+  std::string Page(const std::string& after) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  std::string Events(uint64_t after) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+  mutable absl::Mutex mutex_;
+  std::map<std::string, Item> items_ ABSL_GUARDED_BY(mutex_);
+  uint64_t revision_ ABSL_GUARDED_BY(mutex_) = 1;
+  uint64_t oldest_ ABSL_GUARDED_BY(mutex_) = 0;
+  size_t page_size_ ABSL_GUARDED_BY(mutex_) = 100;
+  bool silent_ ABSL_GUARDED_BY(mutex_) = false;
+  bool ending_ ABSL_GUARDED_BY(mutex_) = false;
+  std::unique_ptr<FakeServer> server_;
+};
+
+}  // namespace umbertrail::testing
+
+#endif  // UMBERTRAIL_TESTS_FRONT_STAND_IN_STORE_H_
--- a/tests/net/parser_test.cc
+++ b/tests/net/parser_test.cc
@@ -68,7 +68,7 @@
 }
 
 TEST_CASE("no bytes upset the reader") {
-  rc::check([] {
+  CHECK(rc::check([] {
     std::string bytes =
         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
         "5\r\nhello\r\n0\r\n\r\n";
@@ -85,7 +85,7 @@
     const size_t piece = *rc::gen::inRange<size_t>(1, 40);
     const Read read = ReadRequestIn(bytes, piece);
     RC_ASSERT(read.body.size() <= bytes.size());
-  });
+  }));
 }
 
 }  // namespace
