Prompts over one runner's memory are read and held by several

Changes of load are told to peers after 0.1 ms a peer (0.5 before): with 79 instances forty ms of age sent many short prompts to the same target.

--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -43,12 +43,17 @@
   double pace = 1;
   // Its sends of this second are used up.
   bool rate_used_up = false;
+  // It had no memory to set aside, or failed as a helper of this request.
+  bool no_helper = false;
 };
 
 struct Placed {
   TargetId target;
   // Targets that read parts of the prompt.
   std::vector<TargetId> helpers;
+  // Memory to be set aside at each helper; zero where the target itself holds
+  // the whole prompt.
+  Tokens reserve_each;
   // From now to the first event.
   absl::Duration first_event;
 };
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -17,8 +17,19 @@
 // Slots left free at a target while others have room, against instances that
 // choose the same target at the same moment.
 constexpr int kSpareSlots = 2;
-// Most targets that read one prompt, beside the first.
-constexpr size_t kMaxHelpers = 3;
+// Most targets that read one prompt, beside the first: for speed, and where its
+// memory needs them.
+constexpr size_t kMaxHelpersForSpeed = 3;
+constexpr size_t kMaxHelpersForMemory = 11;
+// Part of a target's memory that a prompt may fill alone; the rest is for the
+// prompts already there.
+constexpr double kAloneMemoryShare = 0.8;
+// Part of a target's memory that is set aside for another target's prompt.
+constexpr double kReservedMemoryShare = 0.4;
+// Part of the targets that stays free of long reading, for short prompts.
+constexpr double kKeptFromLongReading = 0.5;
+// A helper that fails more often than this spoils more than it speeds up.
+constexpr double kMaxHelperFailing = 0.1;
 // Shorter reading isn't worth a helper.
 constexpr absl::Duration kMinHelpedRead = absl::Milliseconds(600);
 // Small costs that decide among targets that are otherwise equal.
@@ -122,28 +133,65 @@
   return weighed;
 }
 
-// Adds helpers to a long prompt's placement while that lowers the cost.
-void AddHelpers(const Shape& shape,
+// Helpers without which a prompt doesn't fit into the memory.
+size_t HelpersForMemory(const EngineModel& engine, Tokens prompt) {
+  const auto tokens = static_cast<double>(prompt.value());
+  const auto memory = static_cast<double>(engine.memory.value());
+  if (memory <= 0 || tokens <= kAloneMemoryShare * memory) {
+    return 0;
+  }
+  // The first target holds a share like each helper's.
+  return static_cast<size_t>(
+             std::ceil(tokens / (kReservedMemoryShare * memory))) -
+         1;
+}
+
+bool ReadsLong(const Candidate& candidate) {
+  return std::any_of(candidate.work.begin(), candidate.work.end(),
+                     [](const WorkItem& item) {
+                       return item.reading && item.read_time >= kMinHelpedRead;
+                     });
+}
+
+// Helpers that one prompt may take, so that enough targets stay free of long
+// reading.
+size_t MostHelpers(const std::vector<Weighed>& sorted) {
+  const auto reading = std::count_if(
+      sorted.begin(), sorted.end(),
+      [](const Weighed& one) { return ReadsLong(*one.candidate); });
+  const double may_read = std::ceil((1 - kKeptFromLongReading) *
+                                    static_cast<double>(sorted.size()));
+  return static_cast<size_t>(
+      std::max(0.0, may_read - static_cast<double>(reading) - 1));
+}
+
+// Adds helpers to a long prompt's placement: as many as its memory needs, and
+// more while that lowers the cost. False when there are too few.
+bool AddHelpers(const Shape& shape,
                 const EngineModel& engine,
                 const std::vector<Weighed>& sorted,
                 double worth,
                 Placed* placed) {
   const absl::Duration read = ReadTime(engine, shape.prompt);
-  if (read < kMinHelpedRead || sorted.size() < 2) {
-    return;
+  const size_t needed = HelpersForMemory(engine, shape.prompt);
+  if (needed == 0 && (read < kMinHelpedRead || sorted.size() < 2)) {
+    return true;
   }
   const Weighed& first = sorted.front();
   const absl::Duration others =
       first.first_event - read * first.candidate->pace;
-  double best = first.cost;
+  double best = needed == 0 ? first.cost : HUGE_VAL;
   double harm = 0;
   std::vector<TargetId> helpers;
   const absl::Duration pass = PassWhileReading(engine, shape.prompt);
   const double late_before =
       LateShare(shape.waited + first.first_event, shape.aim);
-  for (size_t i = 1; i < sorted.size() && helpers.size() < kMaxHelpers; ++i) {
+  const size_t most =
+      std::min(needed == 0 ? kMaxHelpersForSpeed : kMaxHelpersForMemory,
+               MostHelpers(sorted));
+  for (size_t i = 1; i < sorted.size() && helpers.size() < most; ++i) {
     const Candidate& helper = *sorted[i].candidate;
-    if (helper.cold || helper.failing > 0) {
+    if (helper.cold || helper.failing > kMaxHelperFailing || helper.no_helper) {
       continue;
     }
     harm += HarmOfPass(helper, pass) + kHelperCost;
@@ -153,12 +201,17 @@
     const double late = LateShare(shape.waited + first_event, shape.aim);
     const double cost =
         first.cost + kLateLoss * worth * (late - late_before) + harm;
-    if (cost < best) {
+    if (helpers.size() >= needed && cost < best) {
       best = cost;
       placed->helpers = helpers;
       placed->first_event = first_event;
     }
   }
+  if (needed > 0 && !placed->helpers.empty()) {
+    const auto parts = static_cast<int64_t>(placed->helpers.size()) + 1;
+    placed->reserve_each = Tokens(shape.prompt.value() / parts + 1);
+  }
+  return placed->helpers.size() >= needed;
 }
 
 }  // namespace
@@ -205,6 +258,9 @@
   absl::Duration soonest = kMaxRetry;
   const absl::Duration patience =
       std::min(shape.left, Patience(shape.aim, shape.gap_aim)) - shape.waited;
+  // Then the time counts with its helpers.
+  const bool may_have_help =
+      engine != nullptr && ReadTime(*engine, shape.prompt) >= kMinHelpedRead;
   size_t index = 0;
   for (const Candidate& candidate : candidates) {
     ++index;
@@ -215,7 +271,8 @@
     Weighed one = engine != nullptr
                       ? WeighEngine(shape, *engine, candidate, worth, now)
                       : WeighPlain(candidate);
-    if (engine != nullptr && one.first_event > patience * kUsablePatience) {
+    if (engine != nullptr && !may_have_help &&
+        one.first_event > patience * kUsablePatience) {
       soonest = std::min(soonest, one.first_event - patience * kUsablePatience);
       continue;
     }
@@ -238,8 +295,11 @@
   Placed placed;
   placed.target = weighed.front().candidate->id;
   placed.first_event = weighed.front().first_event;
-  if (engine != nullptr) {
-    AddHelpers(shape, *engine, weighed, worth, &placed);
+  if (may_have_help && (!AddHelpers(shape, *engine, weighed, worth, &placed) ||
+                        placed.first_event > patience * kUsablePatience)) {
+    result.retry_after = std::clamp(
+        placed.first_event - patience * kUsablePatience, kMinRetry, kMaxRetry);
+    return result;
   }
   result.placed = std::move(placed);
   return result;
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 #include "platform/request_codec.h"
 #include "umbertrail/dispatch/admission.h"
+#include "umbertrail/front/joint_memory.h"
 #include "umbertrail/front/state.h"
 #include "umbertrail/front/stream_framer.h"
 #include "umbertrail/net/client.h"
@@ -42,12 +43,15 @@
 
   bool Admit();
   void TryPlace();
+  // Sets memory aside at the helpers first, where the prompt needs it.
+  void SendJointly(const dispatch::Placed& placed);
   void Send(const dispatch::Placed& placed);
   void BeginWork(const dispatch::Placed& placed);
   void EndWork();
   // After a failed attempt: another target, or the end.
   void TryAgainOrEnd(dispatch::Refusal refusal);
   bool MayTryAgain(absl::Time now);
+  void NoteHelperAtFault(const std::string& address);
   void PassStreamEvents();
   void PassBuffered();
   void BeginAnswerOnce();
@@ -79,6 +83,9 @@
   TargetId target_;
   std::shared_ptr<net::ClientConnection> connection_;
   std::vector<dispatch::WorkId> work_;
+  std::shared_ptr<JointMemory> memory_;
+  // Targets that are no use as helpers of this request.
+  std::vector<TargetId> no_helpers_;
   absl::Time sent_at_;
   absl::Duration predicted_;
   AnswerUse use_ = AnswerUse::kNone;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -43,6 +43,8 @@
   // A target can't be reached or has started anew.
   void NoteTargetDown(const TargetId& target, absl::Time now);
   double Random();
+  // A name that no other reservation of any instance has.
+  std::string NextReservation();
 
   net::Loop& loop;
   adapter::InstanceSettings settings;
@@ -59,6 +61,9 @@
   // Tells the other instances of deaths found here.
   std::function<void(const std::vector<dispatch::Death>&)> tell_deaths;
   std::mt19937_64 random;
+  uint64_t next_reservation = 1;
+  // Tells this life of the instance from others.
+  uint64_t life;
 };
 
 }  // namespace umbertrail::front
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -15,7 +15,7 @@
 // Everything is told again this often, against lost datagrams.
 constexpr absl::Duration kHeartbeat = absl::Milliseconds(400);
 // Changes wait this long for others, for each peer that will be told.
-constexpr absl::Duration kFlushWaitPerPeer = absl::Microseconds(500);
+constexpr absl::Duration kFlushWaitPerPeer = absl::Microseconds(100);
 // A peer that has been silent for this is told no more, seeds aside.
 constexpr absl::Duration kForgetPeer = absl::Seconds(20);
 constexpr uint8_t kReadingFlag = 1;
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -28,6 +28,8 @@
 // broken one can be replaced.
 constexpr size_t kMaxBuffered = 128 * 1024;
 constexpr int kServerError = 500;
+// Helpers that may turn out to have no memory before a prompt is refused.
+constexpr size_t kMaxHelpersWithoutMemory = 3;
 
 absl::string_view ReasonOf(int status) {
   switch (status) {
@@ -118,7 +120,11 @@
     Refuse(Refusal::kPoison, dispatch::PoisonRegister::kMemory);
     return;
   }
-  const auto candidates = state_.CandidatesFor(service_id_, tried_, now);
+  auto candidates = state_.CandidatesFor(service_id_, tried_, now);
+  for (dispatch::Candidate& candidate : candidates) {
+    candidate.no_helper = std::find(no_helpers_.begin(), no_helpers_.end(),
+                                    candidate.id) != no_helpers_.end();
+  }
   if (candidates.empty()) {
     Refuse(Refusal::kNoTarget, absl::Milliseconds(500));
     return;
@@ -140,7 +146,34 @@
            result.retry_after * (1 + state_.Random() / 2));
     return;
   }
-  Send(*result.placed);
+  if (result.placed->reserve_each > Tokens(0)) {
+    SendJointly(*result.placed);
+  } else {
+    Send(*result.placed);
+  }
+}
+
+void Relay::SendJointly(const dispatch::Placed& placed) {
+  memory_ = std::make_shared<JointMemory>(state_, state_.NextReservation(),
+                                          placed.reserve_each);
+  memory_->Reserve(placed.helpers,
+                   [weak = weak_from_this(), placed](const TargetId* without) {
+                     const auto self = weak.lock();
+                     if (!self || self->ended_) {
+                       return;
+                     }
+                     if (without == nullptr) {
+                       self->Send(placed);
+                       return;
+                     }
+                     self->memory_.reset();
+                     self->no_helpers_.push_back(*without);
+                     if (self->no_helpers_.size() <= kMaxHelpersWithoutMemory) {
+                       self->TryPlace();
+                     } else {
+                       self->Refuse(Refusal::kOverloaded, absl::Seconds(1));
+                     }
+                   });
 }
 
 void Relay::BeginWork(const dispatch::Placed& placed) {
@@ -165,11 +198,24 @@
     state_.board.End(id);
   }
   work_.clear();
+  if (memory_) {
+    memory_->Release();
+    memory_.reset();
+  }
 }
 
 void Relay::Send(const dispatch::Placed& placed) {
   const absl::Time now = BootNow();
   const dispatch::TargetEntry* entry = state_.view.Find(placed.target);
+  if (entry == nullptr || !state_.view.MayServe(*entry)) {
+    // It left while memory was set aside for it.
+    if (memory_) {
+      memory_->Release();
+      memory_.reset();
+    }
+    Refuse(Refusal::kNoTarget, absl::Milliseconds(200));
+    return;
+  }
   const auto endpoint = net::ParseEndpoint(entry->address);
   target_ = placed.target;
   adapter::SendFacts send;
@@ -180,7 +226,11 @@
     send.last_event = framer_.last_id();
   }
   for (const TargetId& helper : placed.helpers) {
-    send.helpers.push_back({state_.view.Find(helper)->address, ""});
+    const dispatch::TargetEntry* found = state_.view.Find(helper);
+    if (found != nullptr) {
+      send.helpers.push_back(
+          {found->address, memory_ ? memory_->IdAt(helper) : ""});
+    }
   }
   const net::RequestHead head = adapter::WriteRequest(client_->request(), send);
   BeginWork(placed);
@@ -213,6 +263,9 @@
   }
   const adapter::AnswerFacts facts = adapter::ReadAnswer(head, facts_.id);
   not_run_ = facts.not_run;
+  if (!facts.at_fault.empty()) {
+    NoteHelperAtFault(facts.at_fault);
+  }
   if (!facts.is_ours && !facts.not_run) {
     // An answer to another request: whether ours ran is not known.
     use_ = AnswerUse::kDrop;
@@ -235,6 +288,14 @@
   }
 }
 
+void Relay::NoteHelperAtFault(const std::string& address) {
+  for (const auto& [id, entry] : state_.view.targets()) {
+    if (entry.address == address && id != target_) {
+      no_helpers_.push_back(id);
+    }
+  }
+}
+
 void Relay::OnBody(absl::string_view bytes) {
   if (ended_) {
     return;
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace umbertrail::front {
 namespace {
 
@@ -28,7 +30,8 @@
       log(log_fd, settings.name.text()),
       pool(event_loop),
       instances(kMinInstances),
-      random(std::random_device{}()) {}
+      random(std::random_device{}()),
+      life(random()) {}
 
 std::vector<dispatch::Candidate> State::CandidatesFor(
     const ServiceId& service,
@@ -83,6 +86,11 @@
   }
 }
 
+std::string State::NextReservation() {
+  return absl::StrCat(settings.name.text(), "-", absl::Hex(life), "-",
+                      next_reservation++);
+}
+
 double State::Random() {
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -121,6 +121,45 @@
   }
 }
 
+TEST_CASE("a prompt over one memory is held by several targets") {
+  Shape shape = LongShape();
+  shape.prompt = Tokens(500000);
+  std::vector<Candidate> candidates;
+  for (int i = 0; i < 23; ++i) {
+    candidates.push_back(Idle(std::to_string(i)));
+  }
+  const auto result = PlaceAt(shape, candidates);
+  REQUIRE(result.placed);
+  const auto parts = static_cast<int64_t>(result.placed->helpers.size()) + 1;
+  CHECK(result.placed->reserve_each.value() * parts >= shape.prompt.value());
+  CHECK(result.placed->reserve_each < Tokens(200000));
+  CHECK(parts <= 12);
+}
+
+TEST_CASE("a prompt over all memory there is to set aside is refused") {
+  Shape shape = LongShape();
+  shape.prompt = Tokens(900000);
+  CHECK_FALSE(PlaceAt(shape, {Idle("a"), Idle("b"), Idle("c")}).placed);
+  std::vector<Candidate> without;
+  for (int i = 0; i < 23; ++i) {
+    without.push_back(Idle(std::to_string(i)));
+    without.back().no_helper = i > 0;
+  }
+  CHECK_FALSE(PlaceAt(shape, without).placed);
+}
+
+TEST_CASE("a long prompt leaves targets free of long reading") {
+  Shape shape = LongShape();
+  shape.prompt = Tokens(600000);
+  std::vector<Candidate> candidates;
+  for (int i = 0; i < 10; ++i) {
+    candidates.push_back(Idle(std::to_string(i)));
+  }
+  const auto result = PlaceAt(shape, candidates);
+  REQUIRE(result.placed);
+  CHECK(result.placed->helpers.size() + 1 <= 5);
+}
+
 TEST_CASE("helpers are not taken from short streams for little") {
   Candidate writing = Idle("writing");
   writing.work.assign(15, Writing(absl::Milliseconds(250)));
