Few instances ask the store for all; a stop takes no late request

Change: the watch waits 10 s; what a peer read confirms this view, against the time at which it had a message of ours, so that no delay, freeze or clock makes knowledge look younger than it is (dispatch/freshness, RapidCheck); few instances ask when the view grows old, every one that is left alone asks for itself; a peer that knows a newer revision shows a watch that fell silent. Changes are gathered for 250 ms after the first. A message names 8 peers instead of all.

Tests fail first: tests/net/server_test.cc, two cases.

--- /dev/null
+++ b/packages/dispatch/include/umbertrail/dispatch/freshness.h
@@ -0,0 +1,41 @@
+#ifndef UMBERTRAIL_DISPATCH_FRESHNESS_H_
+#define UMBERTRAIL_DISPATCH_FRESHNESS_H_
+
+#include <cstdint>
+
+#include "absl/time/time.h"
+
+// How instances share what the store told one of them: which knowledge a peer's
+// reading confirms here, and when an instance asks the store itself.
+
+namespace umbertrail::dispatch {
+
+// What a peer says of its last reading of the store, against the moment at
+// which it received a message of ours.
+struct PeerReading {
+  // Our own time at which we sent the message that the peer names.
+  absl::Time our_message_sent;
+  // From the peer's receiving that message to the moment its reading speaks
+  // of; mostly negative.
+  absl::Duration reading_after_receipt;
+  // The store's revision at that reading.
+  uint64_t revision = 0;
+};
+
+// The moment, in our own time, as of which the peer's reading holds. The
+// message travelled for some time, so the true moment is never earlier.
+absl::Time MomentOf(const PeerReading& reading);
+
+// True when knowing the store up to `known_revision` is knowing all that the
+// peer read.
+bool Confirms(const PeerReading& reading, uint64_t known_revision);
+
+// True when an instance whose view is `age` old should ask the store now. With
+// many instances few of them ask, and tell the others. `turn` is uniform in
+// [0, 1); the question is put every kAgeCheck.
+bool ShouldAskStore(absl::Duration age, int live_instances, double turn);
+inline constexpr absl::Duration kAgeCheck = absl::Milliseconds(400);
+
+}  // namespace umbertrail::dispatch
+
+#endif  // UMBERTRAIL_DISPATCH_FRESHNESS_H_
--- /dev/null
+++ b/packages/dispatch/src/freshness.cc
@@ -0,0 +1,34 @@
+#include "umbertrail/dispatch/freshness.h"
+
+#include <algorithm>
+
+namespace umbertrail::dispatch {
+namespace {
+
+// Younger knowledge needs no question.
+constexpr absl::Duration kFreshEnough = absl::Milliseconds(1000);
+// From this age on every instance asks for itself: peers may not be reached,
+// and keys are honoured for seconds only.
+constexpr absl::Duration kAskAlone = absl::Milliseconds(2400);
+// Instances that ask in one round, on average.
+constexpr double kAskersInRound = 2;
+
+}  // namespace
+
+absl::Time MomentOf(const PeerReading& reading) {
+  return reading.our_message_sent + reading.reading_after_receipt;
+}
+
+bool Confirms(const PeerReading& reading, uint64_t known_revision) {
+  return reading.revision > 0 && reading.revision <= known_revision;
+}
+
+bool ShouldAskStore(absl::Duration age, int live_instances, double turn) {
+  if (age < kFreshEnough) {
+    return false;
+  }
+  return age >= kAskAlone ||
+         turn < kAskersInRound / std::max(live_instances, 1);
+}
+
+}  // namespace umbertrail::dispatch
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -15,13 +15,16 @@
 
 namespace umbertrail::front {
 
+struct PeerTrailer;
+
 // Tells the other instances what this one runs at which target, and hears the
 // same of them. Each message stands alone and the newest counts, so they are
 // datagrams: a late one would be worthless. Instances find each other through
 // the seeds and through the addresses that peers name.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
  public:
-  explicit PeerLink(State& state);
+  // `on_behind` runs when a peer has read something newer of the store.
+  PeerLink(State& state, std::function<void()> on_behind);
 
   // False when the port can't be bound.
   bool Start();
@@ -36,6 +39,9 @@
     // Tells two lives of an instance apart.
     uint64_t incarnation = 0;
     uint64_t last_sequence = 0;
+    // Its own time of its last message, and ours of receiving it.
+    int64_t sent_ms = 0;
+    absl::Time received;
     bool is_seed = false;
   };
 
@@ -43,12 +49,18 @@
   void Take(absl::string_view datagram, const std::string& from);
   void Heartbeat();
   void Flush();
-  void SendTo(const std::string& address, const std::string& bytes);
+  void SendTo(const std::string& address,
+              const Peer& peer,
+              const std::string& bytes);
+  // Takes what the peer's last reading of the store confirms here.
+  void TakeReading(const PeerTrailer& trailer);
   void SendToAll(const std::string& bytes, bool also_silent);
+  void NameSomePeers(absl::Time now, std::vector<std::string>* out);
   std::string Encode(const std::vector<TargetId>& targets, bool whole);
   void CountInstances(absl::Time now);
 
   State& state_;
+  std::function<void()> on_behind_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer heartbeat_;
   boost::asio::steady_timer flush_;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -58,6 +58,10 @@
   std::map<ServiceId, dispatch::RetryBudget> retry_budgets;
   // How many instances share the fleet's budgets: never fewer than were seen.
   int instances;
+  // How many are heard now, this one included.
+  int live_instances = 1;
+  // All changes of the store up to this are in the view.
+  uint64_t store_revision = 0;
   // Tells the other instances of deaths found here.
   std::function<void(const std::vector<dispatch::Death>&)> tell_deaths;
   std::mt19937_64 random;
--- a/packages/front/include/umbertrail/front/store_reader.h
+++ b/packages/front/include/umbertrail/front/store_reader.h
@@ -24,6 +24,8 @@
 
   void Start();
   void Stop();
+  // A peer has read something newer than what is known here.
+  void NoteBehind();
 
   void OnHead(const net::ResponseHead& head) override;
   void OnBody(absl::string_view bytes) override;
@@ -31,9 +33,15 @@
   void OnFailure(net::CallFailure failure) override;
 
  private:
-  enum class Phase { kReadAll, kWatch };
+  // A poll is a watch that doesn't wait: it tells at once whether anything has
+  // changed.
+  enum class Phase { kReadAll, kPoll, kWatch };
 
   void Ask();
+  // Abandons the watch and asks what has changed.
+  void AskNow();
+  // Every now and then: is the view too old, and is it on us to ask?
+  void CheckAge();
   void OnTimeLimit();
   void TakePage();
   void TakeEvents();
@@ -42,6 +50,7 @@
   void NoteAnswered(absl::Time now);
   void TellFaults(const std::vector<std::string>& faults);
   bool ApplyAll(const std::vector<dispatch::Revised>& changes, absl::Time now);
+  void TellChange(const dispatch::Revised& change, absl::Time now);
   // Deaths and connections of targets that have gone or started anew.
   void NoteRestarts(const dispatch::Revised& change, absl::Time now);
   void After(absl::Duration wait, void (StoreReader::*then)());
@@ -50,6 +59,7 @@
   std::function<void()> on_change_;
   std::shared_ptr<net::ClientConnection> connection_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer age_timer_;
   uint64_t timer_round_ = 0;
   Phase phase_ = Phase::kReadAll;
   int status_ = 0;
@@ -64,8 +74,6 @@
   absl::Time first_page_asked_at_;
   uint64_t first_page_revision_ = 0;
   std::vector<dispatch::Revised> pages_;
-  // Changes up to this are known.
-  uint64_t revision_ = 0;
 };
 
 }  // namespace umbertrail::front
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -71,7 +71,7 @@
       settings_timer_(loop_) {
   settings_text_ = ReadFile(settings_path_);
   store_ = std::make_shared<StoreReader>(state_, [this] { OnViewChange(); });
-  peers_ = std::make_shared<PeerLink>(state_);
+  peers_ = std::make_shared<PeerLink>(state_, [this] { store_->NoteBehind(); });
   state_.tell_deaths = [this](const std::vector<dispatch::Death>& deaths) {
     peers_->TellDeaths(deaths);
   };
@@ -194,7 +194,8 @@
   if (since >= kStillFound) {
     callers_.StopListening();
     callers_.CloseIdle();
-    if (callers_.busy() == 0) {
+    // Also the last bytes of answers must have been read by their clients.
+    if (callers_.connections() == 0) {
       End();
       return;
     }
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -1,9 +1,11 @@
 #include "umbertrail/front/peer_link.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "peer_message.h"
+#include "umbertrail/dispatch/freshness.h"
 
 #include "absl/strings/string_view.h"
 
@@ -18,6 +20,8 @@
 constexpr absl::Duration kFlushWaitPerPeer = absl::Microseconds(100);
 // A peer that has been silent for this is told no more, seeds aside.
 constexpr absl::Duration kForgetPeer = absl::Seconds(20);
+// Peers that one message names; over some messages all become known.
+constexpr int kNamedPeers = 8;
 constexpr uint8_t kReadingFlag = 1;
 constexpr uint8_t kHelpingFlag = 2;
 
@@ -55,8 +59,9 @@
 
 }  // namespace
 
-PeerLink::PeerLink(State& state)
+PeerLink::PeerLink(State& state, std::function<void()> on_behind)
     : state_(state),
+      on_behind_(std::move(on_behind)),
       socket_(state.loop),
       heartbeat_(state.loop),
       flush_(state.loop),
@@ -123,7 +128,7 @@
 
 void PeerLink::Take(absl::string_view datagram, const std::string& from) {
   const absl::Time now = BootNow();
-  auto decoded = DecodePeerMessage(datagram);
+  const auto decoded = DecodePeerDatagram(datagram);
   if (!IsOk(decoded)) {
     state_.log.Write(EventLog::Level::kFailure, "peer_unreadable",
                      {{"from", absl::string_view(from)},
@@ -131,7 +136,7 @@
                      now);
     return;
   }
-  const PeerMessage& message = ValueOf(decoded);
+  const PeerMessage& message = ValueOf(decoded).message;
   Peer& peer = peers_[from];
   const InstanceId id(from);
   if (message.incarnation < peer.incarnation ||
@@ -148,6 +153,9 @@
   if (message.leaving) {
     return;
   }
+  peer.sent_ms = ValueOf(decoded).trailer.sent_ms;
+  peer.received = now;
+  TakeReading(ValueOf(decoded).trailer);
   state_.board.NotePeer(id, now);
   for (const PeerTarget& target : message.targets) {
     std::vector<dispatch::WorkItem> items;
@@ -168,6 +176,32 @@
   }
 }
 
+void PeerLink::TakeReading(const PeerTrailer& trailer) {
+  if (trailer.heard_ms == 0) {
+    return;
+  }
+  dispatch::PeerReading reading;
+  reading.our_message_sent = absl::FromUnixMillis(trailer.heard_ms);
+  reading.reading_after_receipt = absl::Milliseconds(trailer.reading_after_ms);
+  reading.revision = trailer.revision;
+  if (dispatch::Confirms(reading, state_.store_revision)) {
+    state_.view.Confirm(std::min(dispatch::MomentOf(reading), BootNow()));
+  } else if (reading.revision > state_.store_revision) {
+    on_behind_();
+  }
+}
+
+void PeerLink::NameSomePeers(absl::Time now, std::vector<std::string>* out) {
+  std::vector<std::string> heard;
+  for (const auto& [address, peer] : peers_) {
+    if (now - peer.heard < dispatch::LoadBoard::kPeerSilence) {
+      heard.push_back(address);
+    }
+  }
+  std::sample(heard.begin(), heard.end(), std::back_inserter(*out), kNamedPeers,
+              state_.random);
+}
+
 std::string PeerLink::Encode(const std::vector<TargetId>& targets, bool whole) {
   const absl::Time now = BootNow();
   PeerMessage message;
@@ -175,11 +209,7 @@
   message.sequence = ++sequence_;
   message.whole = whole;
   if (whole) {
-    for (const auto& [address, peer] : peers_) {
-      if (now - peer.heard < dispatch::LoadBoard::kPeerSilence) {
-        message.peers.push_back(address);
-      }
-    }
+    NameSomePeers(now, &message.peers);
   }
   for (const TargetId& target : targets) {
     PeerTarget entry;
@@ -196,13 +226,24 @@
   return EncodePeerMessage(message);
 }
 
-void PeerLink::SendTo(const std::string& address, const std::string& bytes) {
+void PeerLink::SendTo(const std::string& address,
+                      const Peer& peer,
+                      const std::string& bytes) {
   boost::system::error_code error;
   const auto host = boost::asio::ip::make_address_v4(address, error);
   if (error) {
     return;  // A peer named something that is no address.
   }
-  socket_.send_to(boost::asio::buffer(bytes),
+  PeerTrailer trailer;
+  trailer.sent_ms = absl::ToUnixMillis(BootNow());
+  if (peer.sent_ms != 0 && state_.view.has_config()) {
+    trailer.heard_ms = peer.sent_ms;
+    trailer.reading_after_ms = absl::ToInt64Milliseconds(absl::Floor(
+        state_.view.confirmed_at() - peer.received, absl::Milliseconds(1)));
+    trailer.revision = state_.store_revision;
+  }
+  const std::string datagram = bytes + EncodePeerTrailer(trailer);
+  socket_.send_to(boost::asio::buffer(datagram),
                   Udp::endpoint(host, static_cast<unsigned short>(
                                           state_.settings.peer_port)),
                   0, error);
@@ -217,7 +258,7 @@
         also_silent && (peer.is_seed || now - peer.heard < kForgetPeer ||
                         peer.incarnation == 0);
     if (talks || may_return) {
-      SendTo(address, bytes);
+      SendTo(address, peer, bytes);
     }
   }
 }
@@ -245,6 +286,7 @@
       std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
         return now - entry.second.heard < dispatch::LoadBoard::kPeerSilence;
       });
+  state_.live_instances = static_cast<int>(heard) + 1;
   state_.instances = std::max(state_.instances, static_cast<int>(heard) + 1);
 }
 
--- a/packages/front/src/peer_message.cc
+++ b/packages/front/src/peer_message.cc
@@ -10,14 +10,24 @@
   return std::string(buffer.data(), buffer.size());
 }
 
-Result<PeerMessage> DecodePeerMessage(absl::string_view bytes) {
+std::string EncodePeerTrailer(const PeerTrailer& trailer) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, trailer);
+  return std::string(buffer.data(), buffer.size());
+}
+
+Result<PeerDatagram> DecodePeerDatagram(absl::string_view bytes) {
   try {
-    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-    auto message = handle.get().as<PeerMessage>();
-    if (message.version != kPeerMessageVersion) {
+    size_t at = 0;
+    PeerDatagram datagram;
+    datagram.message =
+        msgpack::unpack(bytes.data(), bytes.size(), at).get().as<PeerMessage>();
+    if (datagram.message.version != kPeerMessageVersion) {
       return Error{ErrorCode::kInvalidArgument, "another version"};
     }
-    return message;
+    datagram.trailer =
+        msgpack::unpack(bytes.data(), bytes.size(), at).get().as<PeerTrailer>();
+    return datagram;
   } catch (const std::exception& error) {
     return Error{ErrorCode::kCorrupt, error.what()};
   }
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -59,9 +59,30 @@
                        deaths);
 };
 
+// What follows a message, for one receiver. Times are milliseconds of their
+// owner's clock.
+struct PeerTrailer {
+  // The sender's time of this message.
+  int64_t sent_ms = 0;
+  // The receiver's time of its own last message that the sender had; 0 where
+  // there was none.
+  int64_t heard_ms = 0;
+  // From receiving that one to the sender's last reading of the store.
+  int64_t reading_after_ms = 0;
+  // The store's revision at that reading; 0 where there was none.
+  uint64_t revision = 0;
+  MSGPACK_DEFINE_ARRAY(sent_ms, heard_ms, reading_after_ms, revision);
+};
+
+struct PeerDatagram {
+  PeerMessage message;
+  PeerTrailer trailer;
+};
+
 std::string EncodePeerMessage(const PeerMessage& message);
 // An error names what is wrong with the bytes.
-Result<PeerMessage> DecodePeerMessage(absl::string_view bytes);
+std::string EncodePeerTrailer(const PeerTrailer& trailer);
+Result<PeerDatagram> DecodePeerDatagram(absl::string_view bytes);
 
 }  // namespace umbertrail::front
 
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -23,10 +23,10 @@
 // Less time than this is not worth another attempt.
 constexpr absl::Duration kMinTimeToTry = absl::Milliseconds(30);
 // Bytes kept for a client that reads slowly before the target is held up.
-constexpr size_t kMaxUnsent = 128 * 1024;
+constexpr size_t kMaxUnsent = 131072;
 // Whole answers up to this size are kept until they are complete, so that a
 // broken one can be replaced.
-constexpr size_t kMaxBuffered = 128 * 1024;
+constexpr size_t kMaxBuffered = 131072;
 constexpr int kServerError = 500;
 // Helpers that may turn out to have no memory before a prompt is refused.
 constexpr size_t kMaxHelpersWithoutMemory = 3;
@@ -500,7 +500,7 @@
   }
   net::ResponseHead head;
   head.status = status;
-  head.reason = std::string(ReasonOf(status));
+  head.reason = std::string{ReasonOf(status)};
   if (status == 503) {
     head.headers.Add("Retry-After",
                      absl::StrCat(absl::ToDoubleSeconds(retry_after)));
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -3,14 +3,23 @@
 #include <algorithm>
 #include <utility>
 
+#include "umbertrail/dispatch/freshness.h"
+
 #include "absl/strings/string_view.h"
 
 namespace umbertrail::front {
 namespace {
 
-// How long the store may keep a question when nothing changes. What it
-// confirms is as old as the question, so this bounds the age of what is known.
-constexpr absl::Duration kWatchWait = absl::Milliseconds(1500);
+// How long the store may keep a question when nothing changes. Whether the view
+// is still true is asked for apart, by few of the instances for all.
+constexpr absl::Duration kWatchWait = absl::Seconds(10);
+// After a change, those that follow it are gathered for this long: targets come
+// and go in numbers, and each call is paid for.
+constexpr absl::Duration kGather = absl::Milliseconds(250);
+// A poll's.
+constexpr absl::Duration kNoWait = absl::Milliseconds(1);
+// A watch that has waited for less may still bring what a peer knows already.
+constexpr absl::Duration kBehindFor = absl::Milliseconds(200);
 // Beyond the wait; a slow store still answers within it.
 constexpr absl::Duration kAnswerLimit = absl::Milliseconds(900);
 constexpr absl::Duration kConnectLimit = absl::Milliseconds(400);
@@ -27,19 +36,54 @@
     : state_(state),
       on_change_(std::move(on_change)),
       timer_(state.loop),
+      age_timer_(state.loop),
       last_answer_(BootNow()) {}
 
 void StoreReader::Start() {
   Ask();
+  CheckAge();
 }
 
 void StoreReader::Stop() {
   stopped_ = true;
   ++timer_round_;
   timer_.cancel();
+  age_timer_.cancel();
+  if (connection_) {
+    connection_->Close();
+  }
+}
+
+void StoreReader::CheckAge() {
+  const absl::Duration age = BootNow() - state_.view.confirmed_at();
+  if (phase_ == Phase::kWatch && !failing_ &&
+      dispatch::ShouldAskStore(age, state_.live_instances, state_.Random())) {
+    AskNow();
+  }
+  age_timer_.expires_after(net::ToChrono(dispatch::kAgeCheck));
+  age_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        auto self = weak.lock();
+        if (!error && self) {
+          self->CheckAge();
+        }
+      });
+}
+
+void StoreReader::NoteBehind() {
+  if (phase_ == Phase::kWatch && !failing_ &&
+      BootNow() - asked_at_ > kBehindFor) {
+    AskNow();
+  }
+}
+
+void StoreReader::AskNow() {
   if (connection_) {
     connection_->Close();
+    connection_.reset();
   }
+  phase_ = Phase::kPoll;
+  Ask();
 }
 
 void StoreReader::After(absl::Duration wait, void (StoreReader::*then)()) {
@@ -67,12 +111,12 @@
   asked_at_ = BootNow();
   net::RequestHead head;
   head.method = "GET";
+  const absl::Duration wait = phase_ == Phase::kWatch ? kWatchWait : kNoWait;
   head.target = phase_ == Phase::kReadAll
                     ? adapter::ReadAllTarget(page_after_)
-                    : adapter::WatchTarget(revision_, kWatchWait);
+                    : adapter::WatchTarget(state_.store_revision, wait);
   head.headers.Add("Host", state_.settings.store_address);
-  After(phase_ == Phase::kWatch ? kWatchWait + kAnswerLimit : kAnswerLimit,
-        &StoreReader::OnTimeLimit);
+  After(wait + kAnswerLimit, &StoreReader::OnTimeLimit);
   connection_->Call(*endpoint, kConnectLimit, kSilence,
                     net::WriteRequestHead(head, 0), nullptr,
                     /*answer_has_no_body=*/false, weak_from_this());
@@ -96,9 +140,9 @@
 
 void StoreReader::OnEnd() {
   if (status_ == kGone) {
-    state_.log.Write(EventLog::Level::kFailure, "store_history_lost",
-                     {{"revision", static_cast<int64_t>(revision_)}},
-                     BootNow());
+    state_.log.Write(
+        EventLog::Level::kFailure, "store_history_lost",
+        {{"revision", static_cast<int64_t>(state_.store_revision)}}, BootNow());
     phase_ = Phase::kReadAll;
     page_after_.clear();
     Ask();
@@ -143,10 +187,10 @@
   }
   state_.view.ApplyWhole(pages_, first_page_revision_, now);
   state_.view.Confirm(first_page_asked_at_);
-  revision_ = std::max(revision_, first_page_revision_);
+  state_.store_revision = std::max(state_.store_revision, first_page_revision_);
   state_.log.Write(
       EventLog::Level::kUsual, "store_read",
-      {{"revision", static_cast<int64_t>(revision_)},
+      {{"revision", static_cast<int64_t>(state_.store_revision)},
        {"targets", static_cast<int64_t>(state_.view.targets().size())},
        {"config", state_.view.has_config()
                       ? static_cast<int64_t>(state_.view.config().version)
@@ -171,11 +215,16 @@
   TellFaults(answer.faults);
   const bool changed = ApplyAll(answer.changes, now);
   state_.view.Confirm(asked_at_);
-  revision_ = std::max(revision_, answer.revision);
+  state_.store_revision = std::max(state_.store_revision, answer.revision);
   if (changed) {
     on_change_();
   }
-  Ask();
+  phase_ = Phase::kWatch;
+  if (answer.changes.empty()) {
+    Ask();
+  } else {
+    After(kGather, &StoreReader::Ask);
+  }
 }
 
 bool StoreReader::ApplyAll(const std::vector<dispatch::Revised>& changes,
@@ -183,11 +232,57 @@
   bool changed = false;
   for (const dispatch::Revised& change : changes) {
     NoteRestarts(change, now);
-    changed = state_.view.Apply(change, now) || changed;
+    if (state_.view.Apply(change, now)) {
+      changed = true;
+      TellChange(change, now);
+    }
   }
   return changed;
 }
 
+void StoreReader::TellChange(const dispatch::Revised& change, absl::Time now) {
+  const auto revision = static_cast<int64_t>(change.revision);
+  if (const auto* config =
+          std::get_if<dispatch::ConfigChange>(&change.change)) {
+    state_.log.Write(
+        EventLog::Level::kFailure, "config_in_force",
+        {{"version", static_cast<int64_t>(config->config.version)},
+         {"routes", static_cast<int64_t>(config->config.routes.size())},
+         {"keys", static_cast<int64_t>(config->config.accounts_by_key.size())},
+         {"revision", revision}},
+        now);
+  } else if (const auto* target =
+                 std::get_if<dispatch::TargetChange>(&change.change)) {
+    const dispatch::TargetEntry& entry = target->entry;
+    state_.log.Write(
+        EventLog::Level::kUsual, "target_state",
+        {{"target", entry.id.text()},
+         {"service", entry.service.text()},
+         {"data_centre", entry.data_centre.text()},
+         {"draining", entry.draining},
+         {"cold_ms", absl::ToInt64Milliseconds(entry.cold_remaining)},
+         {"revision", revision}},
+        now);
+  } else if (const auto* gone =
+                 std::get_if<dispatch::TargetGone>(&change.change)) {
+    state_.log.Write(EventLog::Level::kUsual, "target_gone",
+                     {{"target", gone->id.text()}, {"revision", revision}},
+                     now);
+  } else if (const auto* closed =
+                 std::get_if<dispatch::DataCentreClosed>(&change.change)) {
+    state_.log.Write(
+        EventLog::Level::kFailure, "data_centre_closed",
+        {{"data_centre", closed->data_centre.text()}, {"revision", revision}},
+        now);
+  } else if (const auto* reopened =
+                 std::get_if<dispatch::DataCentreReopened>(&change.change)) {
+    state_.log.Write(
+        EventLog::Level::kFailure, "data_centre_reopened",
+        {{"data_centre", reopened->data_centre.text()}, {"revision", revision}},
+        now);
+  }
+}
+
 void StoreReader::NoteRestarts(const dispatch::Revised& change,
                                absl::Time now) {
   TargetId id;
@@ -243,6 +338,8 @@
   failing_ = true;
   if (phase_ == Phase::kReadAll) {
     page_after_.clear();
+  } else {
+    phase_ = Phase::kPoll;
   }
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
   After(backoff_, &StoreReader::Ask);
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -128,7 +128,8 @@
   // From now on each answer asks its client to close the connection.
   void StartDraining() { draining_ = true; }
   bool draining() const { return draining_; }
-  // Closes the connections that carry no request.
+  // Closes the connections that carry no request; from now on the others close
+  // after theirs, and a request that is still being read is refused.
   void CloseIdle();
   // Ends every connection.
   void CloseAll();
@@ -147,6 +148,7 @@
   boost::asio::steady_timer accept_pause_;
   ServerLimits limits_;
   bool draining_ = false;
+  bool no_further_requests_ = false;
   size_t busy_ = 0;
   std::unordered_set<ServerConnection*> connections_;
 };
--- a/packages/net/src/parser.h
+++ b/packages/net/src/parser.h
@@ -18,9 +18,9 @@
 inline constexpr uint64_t kUnboundedBody = uint64_t{1} << 50;
 
 // Reads one message. Bytes of the body go to `on_body` as they arrive.
-template <bool kIsRequest>
-class MessageReader : public boost::beast::http::basic_parser<kIsRequest> {
-  using Base = boost::beast::http::basic_parser<kIsRequest>;
+template <bool IsRequest>
+class MessageReader : public boost::beast::http::basic_parser<IsRequest> {
+  using Base = boost::beast::http::basic_parser<IsRequest>;
   using Error = boost::beast::error_code;
   using Text = boost::beast::string_view;
 
@@ -82,7 +82,7 @@
     if (head_read_) {
       return;  // A trailer.
     }
-    Headers& headers = kIsRequest ? request_.headers : response_.headers;
+    Headers& headers = IsRequest ? request_.headers : response_.headers;
     headers.Add(std::string(name.data(), name.size()),
                 std::string(value.data(), value.size()));
   }
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -193,6 +193,10 @@
   ++timer_round_;
   timer_.cancel();
   close_after_answer_ = !reader_->message.keep_alive();
+  if (server_.no_further_requests_) {
+    Refuse(503, "Service Unavailable");
+    return;
+  }
   ++server_.busy_;
   server_.on_request_(shared_from_this());
 }
@@ -239,7 +243,7 @@
     return;
   }
   if (!chunked_answer_) {
-    writes_.Push(std::string(bytes), shared_from_this());
+    writes_.Push(std::string{bytes}, shared_from_this());
     return;
   }
   writes_.Push(absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"),
@@ -255,7 +259,7 @@
   }
   chunked_answer_ = false;
   --server_.busy_;
-  if (close_after_answer_) {
+  if (close_after_answer_ || server_.no_further_requests_) {
     state_ = State::kIdle;
     CloseGracefully();
     return;
@@ -397,6 +401,7 @@
 }
 
 void HttpServer::CloseIdle() {
+  no_further_requests_ = true;
   const std::vector<ServerConnection*> all(connections_.begin(),
                                            connections_.end());
   for (ServerConnection* connection : all) {
--- a/packages/net/src/socket.cc
+++ b/packages/net/src/socket.cc
@@ -33,7 +33,7 @@
   }
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address_v4(
-      std::string(text.substr(0, colon)), error);
+      std::string{text.substr(0, colon)}, error);
   if (error) {
     return std::nullopt;
   }
--- a/tests/adapter/wire_names_test.cc
+++ b/tests/adapter/wire_names_test.cc
@@ -22,19 +22,19 @@
 
 TEST_CASE("no package outside the adapter knows the platform's names") {
   // The product's own interface has a header of the name wire::kTimeLeftMs.
-  const char* const kNames[] = {wire::kAttemptId,      wire::kExpectInstance,
-                                wire::kTenant,         wire::kTokenCounts,
-                                wire::kNotExecuted,    wire::kHelpers,
-                                wire::kUrgency,        wire::kExpectVersion,
-                                wire::kAtServer,       wire::kLastEventId,
-                                wire::kReadinessPath,  wire::kRangePath,
-                                wire::kWatchPath,      wire::kConfigKey,
-                                wire::kEvacuatePrefix, wire::kSettingsVariable,
-                                "cold_remaining_ms",   "traffic_split",
-                                "target_latency_ms",   "gap_aim_ms",
-                                "store_revision",      "more_pages",
-                                "internal_ports",      "node_name",
-                                "op/evacuate"};
+  const char* const names[] = {wire::kAttemptId,      wire::kExpectInstance,
+                               wire::kTenant,         wire::kTokenCounts,
+                               wire::kNotExecuted,    wire::kHelpers,
+                               wire::kUrgency,        wire::kExpectVersion,
+                               wire::kAtServer,       wire::kLastEventId,
+                               wire::kReadinessPath,  wire::kRangePath,
+                               wire::kWatchPath,      wire::kConfigKey,
+                               wire::kEvacuatePrefix, wire::kSettingsVariable,
+                               "cold_remaining_ms",   "traffic_split",
+                               "target_latency_ms",   "gap_aim_ms",
+                               "store_revision",      "more_pages",
+                               "internal_ports",      "node_name",
+                               "op/evacuate"};
   int files = 0;
   for (const auto& entry : fs::recursive_directory_iterator(
            fs::path(UMBERTRAIL_ROOT) / "packages")) {
@@ -44,7 +44,7 @@
     }
     ++files;
     const std::string text = TextOf(entry.path());
-    for (const char* name : kNames) {
+    for (const char* name : names) {
       CAPTURE(entry.path().string(), name);
       CHECK(text.find(name) == std::string::npos);
     }
--- /dev/null
+++ b/tests/dispatch/freshness_test.cc
@@ -0,0 +1,54 @@
+#include "umbertrail/dispatch/freshness.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::dispatch {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000);
+
+TEST_CASE("a peer's reading never counts as later than it was") {
+  // The peer's clock differs by any amount, messages travel for any time, and
+  // this instance may be frozen before it reads the answer.
+  CHECK(rc::check([] {
+    const auto ms = [](int most) {
+      return absl::Milliseconds(*rc::gen::inRange(0, most));
+    };
+    const absl::Time sent = kStart + ms(100000);
+    const absl::Time received = sent + ms(10000);
+    const absl::Time read_at = received - ms(20000) + ms(20000);
+    const absl::Duration skew = ms(2000000) - absl::Seconds(1000);
+    PeerReading reading;
+    reading.our_message_sent = sent;
+    // What the peer computes in its own clock.
+    reading.reading_after_receipt = (read_at + skew) - (received + skew);
+    RC_ASSERT(MomentOf(reading) <= read_at);
+  }));
+}
+
+TEST_CASE("a reading of something newer confirms nothing") {
+  PeerReading reading;
+  reading.revision = 7;
+  CHECK(Confirms(reading, 7));
+  CHECK(Confirms(reading, 8));
+  CHECK_FALSE(Confirms(reading, 6));
+  reading.revision = 0;  // The peer has read nothing yet.
+  CHECK_FALSE(Confirms(reading, 6));
+}
+
+TEST_CASE("few of many instances ask, and every one that is left alone") {
+  int asking = 0;
+  for (int i = 0; i < 1000; ++i) {
+    asking += ShouldAskStore(absl::Milliseconds(1500), 100, i / 1000.0) ? 1 : 0;
+  }
+  CHECK(asking == 20);
+  CHECK(ShouldAskStore(absl::Milliseconds(1500), 1, 0.999));
+  CHECK(ShouldAskStore(absl::Milliseconds(2500), 100, 0.999));
+  CHECK_FALSE(ShouldAskStore(absl::Milliseconds(900), 1, 0));
+  CHECK(ShouldAskStore(absl::InfiniteDuration(), 100, 0.999));
+}
+
+}  // namespace
+}  // namespace umbertrail::dispatch
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -1,5 +1,6 @@
 #include "umbertrail/net/server.h"
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <thread>
@@ -187,6 +188,68 @@
   CHECK_THAT(answer, !Catch::Contains("chunked"));
 }
 
+TEST_CASE("an answer that began before a stop takes no request after it") {
+  // The head of the answer couldn't ask the client to close: it was sent
+  // before the stop. A request that follows on the connection would have too
+  // little time.
+  std::shared_ptr<ServerConnection> first;
+  int handled = 0;
+  absl::Notification begun;
+  Running running([&](std::shared_ptr<ServerConnection> client) {
+    if (++handled > 1) {
+      Echo(client);
+      return;
+    }
+    first = client;
+    ResponseHead head;
+    head.status = 200;
+    client->BeginAnswer(head);
+    client->SendBody("part");
+    begun.Notify();
+  });
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  begun.WaitForNotification();
+  absl::Notification finished;
+  boost::asio::post(running.loop(), [&] {
+    running.server().StartDraining();
+    running.server().CloseIdle();
+    first->Finish();
+    first.reset();
+    finished.Notify();
+  });
+  finished.WaitForNotification();
+  client.Send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK_THAT(client.ReadToEnd(), Catch::EndsWith("part\r\n0\r\n\r\n"));
+  CHECK(handled == 1);
+}
+
+TEST_CASE("a request that is still being sent at a stop's end is refused") {
+  int handled = 0;
+  Running running([&](std::shared_ptr<ServerConnection> client) {
+    ++handled;
+    Echo(client);
+  });
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  client.ReadAnswer();
+  client.Send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n1");
+  absl::Notification closed;
+  // The part that was sent has been read when a later connection is answered.
+  RawClient other(running.address());
+  other.Send("GET /c HTTP/1.1\r\nHost: x\r\n\r\n");
+  other.ReadAnswer();
+  boost::asio::post(running.loop(), [&] {
+    running.server().StartDraining();
+    running.server().CloseIdle();
+    closed.Notify();
+  });
+  closed.WaitForNotification();
+  client.Send("2");
+  CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 503"));
+  CHECK(handled == 2);
+}
+
 TEST_CASE("while draining each answer asks its client to leave") {
   Running running(Echo);
   running.server().StartDraining();
