--- a/tests/net/parser_test.cc
+++ b/tests/net/parser_test.cc
@@ -47,7 +47,7 @@
 }
 
 TEST_CASE("framing that two readers could see differently is refused") {
-  const char* const kBad[] = {
+  const char* const malformed[] = {
       "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
       "Content-Length: 4\r\n\r\nabcd",
       "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
@@ -61,7 +61,7 @@
       "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
       "zz\r\nab\r\n0\r\n\r\n",
   };
-  for (const char* bad : kBad) {
+  for (const char* bad : malformed) {
     CAPTURE(bad);
     CHECK(ReadRequestIn(bad, 1000).failed);
   }
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -90,17 +90,17 @@
     ++handled;
     Echo(client);
   });
-  const std::string kBad[] = {
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-      "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
-      "GET / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "0\r\n\r\n",
+  const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string end = "\r\n0\r\n\r\n";
+  const std::string malformed[] = {
+      post + "Content-Length: 3\r\n" + chunked + end,
+      post + "Transfer-Encoding: gzip\r\n\r\n",
+      post + chunked + chunked + end,
+      post + "Host: y\r\n\r\n",
+      "POST / HTTP/1.0\r\nHost: x\r\n" + chunked + end,
       "nonsense\r\n\r\n"};
-  for (const std::string& bad : kBad) {
+  for (const std::string& bad : malformed) {
     RawClient client(running.address());
     client.Send(bad);
     CAPTURE(bad);
