--- a/packages/front/include/umbertrail/front/event_log.h
+++ b/packages/front/include/umbertrail/front/event_log.h
@@ -2,8 +2,10 @@
 #define UMBERTRAIL_FRONT_EVENT_LOG_H_
 
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include "absl/strings/string_view.h"
@@ -28,12 +30,18 @@
   // Writes to descriptor `fd`, which is set not to block.
   EventLog(int fd, std::string instance);
 
+  // `on_lost` runs for each line that is left out.
+  void SetOnLost(std::function<void()> on_lost) {
+    on_lost_ = std::move(on_lost);
+  }
+
   void Write(Level level,
              absl::string_view event,
              std::initializer_list<Field> fields,
              absl::Time now);
 
  private:
+  void LeaveOut();
   bool TakeBudget(Level level, size_t bytes, absl::Time now);
 
   int fd_;
@@ -41,6 +49,7 @@
   double budget_ = 0;
   absl::Time refilled_ = absl::InfinitePast();
   int64_t left_out_ = 0;
+  std::function<void()> on_lost_;
   // Rest of a line that the pipe took in part.
   std::string rest_;
 };
--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -34,6 +34,7 @@
   std::optional<std::string> Listen();
   void OnRequest(std::shared_ptr<net::ServerConnection> client);
   void OnReadiness(std::shared_ptr<net::ServerConnection> client);
+  void OnMetrics(std::shared_ptr<net::ServerConnection> client);
   bool IsReady() const;
   void OnViewChange();
   void AwaitSignal();
@@ -52,6 +53,7 @@
   net::HttpServer callers_;
   net::HttpServer readiness_;
   net::HttpServer control_;
+  net::HttpServer metrics_;
   std::shared_ptr<StoreReader> store_;
   std::shared_ptr<PeerLink> peers_;
   boost::asio::signal_set signals_;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -16,6 +16,7 @@
 #include "umbertrail/dispatch/poison.h"
 #include "umbertrail/dispatch/target_health.h"
 #include "umbertrail/front/event_log.h"
+#include "umbertrail/front/metrics.h"
 #include "umbertrail/front/target_pool.h"
 
 namespace umbertrail::front {
@@ -49,6 +50,7 @@
   net::Loop& loop;
   adapter::InstanceSettings settings;
   EventLog log;
+  Metrics metrics;
   dispatch::FleetView view;
   dispatch::LoadBoard board;
   dispatch::PoisonRegister poison;
@@ -61,7 +63,7 @@
   // How many are heard now, this one included.
   int live_instances = 1;
   // All changes of the store up to this are in the view.
-  uint64_t store_revision = 0;
+  uint64_t known_revision = 0;
   // Tells the other instances of deaths found here.
   std::function<void(const std::vector<dispatch::Death>&)> tell_deaths;
   std::mt19937_64 random;
--- a/packages/front/src/event_log.cc
+++ b/packages/front/src/event_log.cc
@@ -52,6 +52,13 @@
   }
 }
 
+void EventLog::LeaveOut() {
+  ++left_out_;
+  if (on_lost_) {
+    on_lost_();
+  }
+}
+
 bool EventLog::TakeBudget(Level level, size_t bytes, absl::Time now) {
   if (refilled_ == absl::InfinitePast()) {
     budget_ = kBurstBytes;
@@ -86,7 +93,7 @@
   }
   line += "}\n";
   if (!TakeBudget(level, line.size(), now)) {
-    ++left_out_;
+    LeaveOut();
     return;
   }
   const std::string bytes = rest_ + line;
@@ -94,7 +101,7 @@
   if (taken < static_cast<ssize_t>(rest_.size())) {
     // The pipe is full: the begun line stays, this one is left out.
     rest_.erase(0, static_cast<size_t>(std::max<ssize_t>(taken, 0)));
-    ++left_out_;
+    LeaveOut();
     return;
   }
   rest_ = bytes.substr(static_cast<size_t>(taken));
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -66,6 +66,10 @@
           loop_,
           [this](auto client) { OnReadiness(std::move(client)); },
           [](int, const char*) {}),
+      metrics_(
+          loop_,
+          [this](auto client) { OnMetrics(std::move(client)); },
+          [](int, const char*) {}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop_),
       settings_timer_(loop_) {
@@ -82,7 +86,8 @@
   const std::pair<net::HttpServer*, const std::string*> listeners[] = {
       {&callers_, &state_.settings.callers_address},
       {&readiness_, &state_.settings.readiness_address},
-      {&control_, &state_.settings.control_address}};
+      {&control_, &state_.settings.control_address},
+      {&metrics_, &state_.settings.metrics_address}};
   for (const auto& [server, address] : listeners) {
     if (address->empty()) {
       continue;
@@ -141,6 +146,24 @@
   client->Answer(std::move(head), "");
 }
 
+void Front::OnMetrics(std::shared_ptr<net::ServerConnection> client) {
+  Gauges gauges;
+  if (state_.view.has_config()) {
+    gauges.config_version = static_cast<double>(state_.view.config().version);
+    gauges.config_age = BootNow() - state_.view.confirmed_at();
+  }
+  gauges.targets = static_cast<double>(state_.view.targets().size());
+  gauges.open_requests = static_cast<double>(callers_.busy());
+  gauges.connections = static_cast<double>(callers_.connections());
+  gauges.live_instances = state_.live_instances;
+  gauges.ready = IsReady();
+  net::ResponseHead head;
+  head.status = 200;
+  head.reason = "OK";
+  head.headers.Add("Content-Type", "text/plain; version=0.0.4");
+  client->Answer(std::move(head), state_.metrics.Text(gauges));
+}
+
 bool Front::IsReady() const {
   if (stopping_ || !state_.view.has_config() || state_.view.targets().empty()) {
     return false;
@@ -253,6 +276,7 @@
   settings.callers_address = state_.settings.callers_address;
   settings.readiness_address = state_.settings.readiness_address;
   settings.control_address = state_.settings.control_address;
+  settings.metrics_address = state_.settings.metrics_address;
   settings.peer_port = state_.settings.peer_port;
   state_.settings = std::move(settings);
   state_.log.Write(EventLog::Level::kFailure, "reload", {}, BootNow());
--- /dev/null
+++ b/packages/front/src/metrics.cc
@@ -0,0 +1,146 @@
+#include "umbertrail/front/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace umbertrail::front {
+namespace {
+
+// Prompts under this many tokens are short, under the second medium.
+constexpr Tokens kMediumFrom{16000};
+constexpr Tokens kLongFrom{100000};
+
+// Bounds of the latency histograms, in seconds.
+prometheus::Histogram::BucketBoundaries LatencyBounds() {
+  return {0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
+}
+
+std::string NameOf(dispatch::Repeat repeat) {
+  switch (repeat) {
+    case dispatch::Repeat::kNever:
+      return "unsafe";
+    case dispatch::Repeat::kSafe:
+      return "safe";
+    case dispatch::Repeat::kStream:
+      return "stream";
+    case dispatch::Repeat::kResumableStream:
+      return "resumable_stream";
+  }
+  return "unknown";
+}
+
+std::string Copy(absl::string_view text) {
+  return std::string{text};
+}
+
+}  // namespace
+
+struct Metrics::Families {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& requests =
+      prometheus::BuildCounter()
+          .Name("umbertrail_requests_total")
+          .Help("Requests that ended, by what may be repeated and outcome")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& refusals =
+      prometheus::BuildCounter()
+          .Name("umbertrail_refusals_total")
+          .Help("Answers without a target's, by reason")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& attempts =
+      prometheus::BuildCounter()
+          .Name("umbertrail_attempts_total")
+          .Help("Requests sent to targets, by how that ended")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& store_calls =
+      prometheus::BuildCounter()
+          .Name("umbertrail_store_calls_total")
+          .Help("Questions to the platform's store")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& lost_lines =
+      prometheus::BuildCounter()
+          .Name("umbertrail_log_lines_lost_total")
+          .Help("Log lines left out for want of room")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& durations =
+      prometheus::BuildHistogram()
+          .Name("umbertrail_request_seconds")
+          .Help("From a request's arrival to its end")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& first_events =
+      prometheus::BuildHistogram()
+          .Name("umbertrail_first_event_seconds")
+          .Help("From a request's arrival to its first event, by length")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& gauges =
+      prometheus::BuildGauge()
+          .Name("umbertrail_state")
+          .Help("Readings of the moment, by name; ages in seconds")
+          .Register(registry);
+};
+
+Metrics::Metrics() : families_(std::make_unique<Families>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::CountRequest(dispatch::Repeat repeat,
+                           absl::string_view outcome,
+                           absl::Duration took) {
+  const std::string kind = NameOf(repeat);
+  families_->requests.Add({{"repeat", kind}, {"outcome", Copy(outcome)}})
+      .Increment();
+  families_->durations.Add({{"repeat", kind}}, LatencyBounds())
+      .Observe(absl::ToDoubleSeconds(took));
+}
+
+void Metrics::CountRefusal(absl::string_view reason, bool may_have_run) {
+  families_->refusals
+      .Add({{"reason", Copy(reason)},
+            {"may_have_run", may_have_run ? "1" : "0"}})
+      .Increment();
+}
+
+void Metrics::CountAttempt(absl::string_view result) {
+  families_->attempts.Add({{"result", Copy(result)}}).Increment();
+}
+
+void Metrics::ObserveFirstEvent(Tokens prompt, absl::Duration after) {
+  families_->first_events
+      .Add({{"length", Copy(LengthClassOf(prompt))}}, LatencyBounds())
+      .Observe(absl::ToDoubleSeconds(after));
+}
+
+void Metrics::CountStoreCall(absl::string_view kind) {
+  families_->store_calls.Add({{"kind", Copy(kind)}}).Increment();
+}
+
+void Metrics::CountLostLine() {
+  families_->lost_lines.Add({}).Increment();
+}
+
+std::string Metrics::Text(const Gauges& gauges) const {
+  const std::pair<const char*, double> readings[] = {
+      {"config_version", gauges.config_version},
+      {"config_age", absl::ToDoubleSeconds(gauges.config_age)},
+      {"targets", gauges.targets},
+      {"open_requests", gauges.open_requests},
+      {"connections", gauges.connections},
+      {"live_instances", gauges.live_instances},
+      {"ready", gauges.ready ? 1.0 : 0.0}};
+  for (const auto& [name, value] : readings) {
+    families_->gauges.Add({{"name", name}}).Set(value);
+  }
+  return prometheus::TextSerializer().Serialize(families_->registry.Collect());
+}
+
+absl::string_view LengthClassOf(Tokens prompt) {
+  if (prompt < kMediumFrom) {
+    return "short";
+  }
+  return prompt < kLongFrom ? "medium" : "long";
+}
+
+}  // namespace umbertrail::front
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -184,9 +184,9 @@
   reading.our_message_sent = absl::FromUnixMillis(trailer.heard_ms);
   reading.reading_after_receipt = absl::Milliseconds(trailer.reading_after_ms);
   reading.revision = trailer.revision;
-  if (dispatch::Confirms(reading, state_.store_revision)) {
+  if (dispatch::Confirms(reading, state_.known_revision)) {
     state_.view.Confirm(std::min(dispatch::MomentOf(reading), BootNow()));
-  } else if (reading.revision > state_.store_revision) {
+  } else if (reading.revision > state_.known_revision) {
     on_behind_();
   }
 }
@@ -240,7 +240,7 @@
     trailer.heard_ms = peer.sent_ms;
     trailer.reading_after_ms = absl::ToInt64Milliseconds(absl::Floor(
         state_.view.confirmed_at() - peer.received, absl::Milliseconds(1)));
-    trailer.revision = state_.store_revision;
+    trailer.revision = state_.known_revision;
   }
   const std::string datagram = bytes + EncodePeerTrailer(trailer);
   socket_.send_to(boost::asio::buffer(datagram),
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -352,6 +352,9 @@
     work_.pop_back();
   }
   state_.health[target_].NoteFirstEvent(predicted_, now - sent_at_);
+  if (!answer_begun_) {
+    state_.metrics.ObserveFirstEvent(facts_.prompt, now - started_);
+  }
   state_.log.Write(EventLog::Level::kUsual, "first_event",
                    {{"request", facts_.id.text()},
                     {"target", target_.text()},
@@ -382,6 +385,7 @@
   EndWork();
   state_.pool.Give(target_, std::move(connection_));
   connection_.reset();
+  state_.metrics.CountAttempt(not_run_ ? "not_run" : "answered");
   if (not_run_) {
     state_.health[target_].NoteFailure(now);
     TryAgainOrEnd(Refusal::kTargetBusy);
@@ -425,6 +429,7 @@
     connection_->Close();
     connection_.reset();
   }
+  state_.metrics.CountAttempt(net::NameOf(failure));
   state_.log.Write(EventLog::Level::kFailure, "attempt_failed",
                    {{"request", facts_.id.text()},
                     {"target", target_.text()},
@@ -482,6 +487,7 @@
     return;
   }
   const int status = dispatch::StatusOf(refusal, may_have_run_);
+  state_.metrics.CountRefusal(dispatch::NameOf(refusal), may_have_run_);
   state_.log.Write(
       EventLog::Level::kFailure, "refused",
       {{"request", facts_.id.text()},
@@ -517,6 +523,9 @@
   timer_.cancel();
   LeaveTarget();
   const absl::Time now = BootNow();
+  if (route_ != nullptr) {
+    state_.metrics.CountRequest(route_->repeat, outcome, now - started_);
+  }
   state_.log.Write(EventLog::Level::kUsual, "ended",
                    {{"request", facts_.id.text()},
                     {"outcome", outcome},
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -31,7 +31,9 @@
       pool(event_loop),
       instances(kMinInstances),
       random(std::random_device{}()),
-      life(random()) {}
+      life(random()) {
+  log.SetOnLost([this] { metrics.CountLostLine(); });
+}
 
 std::vector<dispatch::Candidate> State::CandidatesFor(
     const ServiceId& service,
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -106,6 +106,9 @@
   if (!connection_ || !connection_->Reusable()) {
     connection_ = std::make_shared<net::ClientConnection>(state_.loop);
   }
+  state_.metrics.CountStoreCall(phase_ == Phase::kReadAll ? "read"
+                                : phase_ == Phase::kPoll  ? "poll"
+                                                          : "watch");
   body_.clear();
   status_ = 0;
   asked_at_ = BootNow();
@@ -114,7 +117,7 @@
   const absl::Duration wait = phase_ == Phase::kWatch ? kWatchWait : kNoWait;
   head.target = phase_ == Phase::kReadAll
                     ? adapter::ReadAllTarget(page_after_)
-                    : adapter::WatchTarget(state_.store_revision, wait);
+                    : adapter::WatchTarget(state_.known_revision, wait);
   head.headers.Add("Host", state_.settings.store_address);
   After(wait + kAnswerLimit, &StoreReader::OnTimeLimit);
   connection_->Call(*endpoint, kConnectLimit, kSilence,
@@ -142,7 +145,7 @@
   if (status_ == kGone) {
     state_.log.Write(
         EventLog::Level::kFailure, "store_history_lost",
-        {{"revision", static_cast<int64_t>(state_.store_revision)}}, BootNow());
+        {{"revision", static_cast<int64_t>(state_.known_revision)}}, BootNow());
     phase_ = Phase::kReadAll;
     page_after_.clear();
     Ask();
@@ -187,10 +190,10 @@
   }
   state_.view.ApplyWhole(pages_, first_page_revision_, now);
   state_.view.Confirm(first_page_asked_at_);
-  state_.store_revision = std::max(state_.store_revision, first_page_revision_);
+  state_.known_revision = std::max(state_.known_revision, first_page_revision_);
   state_.log.Write(
       EventLog::Level::kUsual, "store_read",
-      {{"revision", static_cast<int64_t>(state_.store_revision)},
+      {{"revision", static_cast<int64_t>(state_.known_revision)},
        {"targets", static_cast<int64_t>(state_.view.targets().size())},
        {"config", state_.view.has_config()
                       ? static_cast<int64_t>(state_.view.config().version)
@@ -215,7 +218,7 @@
   TellFaults(answer.faults);
   const bool changed = ApplyAll(answer.changes, now);
   state_.view.Confirm(asked_at_);
-  state_.store_revision = std::max(state_.store_revision, answer.revision);
+  state_.known_revision = std::max(state_.known_revision, answer.revision);
   if (changed) {
     on_change_();
   }
--- /dev/null
+++ b/tests/front/metrics_test.cc
@@ -0,0 +1,38 @@
+#include "umbertrail/front/metrics.h"
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::front {
+namespace {
+
+TEST_CASE("counters and histograms are served as text") {
+  Metrics metrics;
+  metrics.CountRequest(dispatch::Repeat::kSafe, "answered",
+                       absl::Milliseconds(40));
+  metrics.CountRequest(dispatch::Repeat::kSafe, "answered",
+                       absl::Milliseconds(400));
+  metrics.CountRefusal("overloaded", false);
+  metrics.ObserveFirstEvent(Tokens(182000), absl::Seconds(2));
+  Gauges gauges;
+  gauges.config_age = absl::Milliseconds(1500);
+  gauges.ready = true;
+  const std::string text = metrics.Text(gauges);
+  CHECK_THAT(text,
+             Catch::Contains("umbertrail_requests_total{outcome=\"answered\","
+                             "repeat=\"safe\"} 2"));
+  CHECK_THAT(text, Catch::Contains("reason=\"overloaded\"} 1"));
+  CHECK_THAT(text, Catch::Contains("length=\"long\",le=\"2\"} 1"));
+  CHECK_THAT(text, Catch::Contains("length=\"long\",le=\"1.5\"} 0"));
+  CHECK_THAT(text,
+             Catch::Contains("umbertrail_state{name=\"config_age\"} 1.5"));
+  CHECK_THAT(text, Catch::Contains("umbertrail_state{name=\"ready\"} 1"));
+}
+
+TEST_CASE("prompts are told apart by length") {
+  CHECK(LengthClassOf(Tokens(5000)) == "short");
+  CHECK(LengthClassOf(Tokens(45000)) == "medium");
+  CHECK(LengthClassOf(Tokens(182000)) == "long");
+}
+
+}  // namespace
+}  // namespace umbertrail::front
