--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -31,7 +31,7 @@
 
 Usage:
   umbertraild --settings=FILE [--check]
-  umbertraild front [--node=FILE] [--check]
+  umbertraild front [--node=FILE] [--check] [--placement=MODE]
   umbertraild --help
   umbertraild --version
 
@@ -40,6 +40,8 @@
   front            Serve on the users' platform.
   --node=FILE      The platform's settings of this machine; where it isn't
                    given, the environment names it.
+  --placement=MODE How targets are chosen: predicted, or the baselines
+                   least-connections and random [default: predicted].
   --check          Check the settings and the files that they name, then exit.
   --help           Show this text.
   --version        Show the version.
@@ -149,7 +151,14 @@
 }
 
 // Serves on the users' platform until a planned stop.
-int RunFront(const std::string& path, bool only_check) {
+int RunFront(const std::string& path,
+             bool only_check,
+             const std::string& placement) {
+  const auto mode = umbertrail::dispatch::ParsePlacementMode(placement);
+  if (!mode) {
+    std::fprintf(stderr, "--placement=%s: no such mode\n", placement.c_str());
+    return kExitSettings;
+  }
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
@@ -169,7 +178,8 @@
     std::printf("%s: no fault\n", path.c_str());
     return 0;
   }
-  umbertrail::front::Front front(std::move(read.settings), path, STDOUT_FILENO);
+  umbertrail::front::Front front(std::move(read.settings), path, STDOUT_FILENO,
+                                 *mode);
   const auto served = front.Run();
   if (!umbertrail::IsOk(served)) {
     std::fprintf(stderr, "%s\n", umbertrail::ErrorOf(served).message.c_str());
--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "umbertrail/base.h"
 #include "umbertrail/dispatch/config.h"
@@ -17,6 +18,17 @@
 
 namespace umbertrail::dispatch {
 
+// How targets are chosen. All but the first are baselines to measure against.
+enum class PlacementMode {
+  // By predicted times, from what all instances run.
+  kPredicted,
+  // The target with the fewest of this instance's own requests.
+  kLeastConnections,
+  // Any target that may serve.
+  kRandom,
+};
+std::optional<PlacementMode> ParsePlacementMode(absl::string_view name);
+
 // A request as far as placement looks at it.
 struct Shape {
   // Zero at a plain service.
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -216,6 +216,19 @@
 
 }  // namespace
 
+std::optional<PlacementMode> ParsePlacementMode(absl::string_view name) {
+  if (name == "predicted") {
+    return PlacementMode::kPredicted;
+  }
+  if (name == "least-connections") {
+    return PlacementMode::kLeastConnections;
+  }
+  if (name == "random") {
+    return PlacementMode::kRandom;
+  }
+  return std::nullopt;
+}
+
 double WorthOf(Tokens prompt) {
   return 1 + static_cast<double>(prompt.value()) / kTokensPerWorth;
 }
--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -21,7 +21,8 @@
   // changes.
   Front(adapter::InstanceSettings settings,
         std::string settings_path,
-        int log_fd);
+        int log_fd,
+        dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted);
 
   // Serves until a planned stop is over. An error when an address can't be
   // used.
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -31,6 +31,8 @@
         adapter::InstanceSettings instance_settings,
         int log_fd);
 
+  // What runs at a target, as far as the mode of placement looks at it.
+  std::vector<dispatch::WorkItem> WorkAt(const TargetId& target) const;
   // The targets of a service that may get a request now, as placement sees
   // them; `excluded` were tried before.
   std::vector<dispatch::Candidate> CandidatesFor(
@@ -48,6 +50,7 @@
   std::string NextReservation();
 
   net::Loop& loop;
+  dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted;
   adapter::InstanceSettings settings;
   EventLog log;
   Metrics metrics;
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -45,7 +45,8 @@
 
 Front::Front(adapter::InstanceSettings settings,
              std::string settings_path,
-             int log_fd)
+             int log_fd,
+             dispatch::PlacementMode mode)
     : loop_(1),
       state_(loop_, std::move(settings), log_fd),
       settings_path_(std::move(settings_path)),
@@ -73,6 +74,7 @@
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(loop_),
       settings_timer_(loop_) {
+  state_.mode = mode;
   settings_text_ = ReadFile(settings_path_);
   store_ = std::make_shared<StoreReader>(state_, [this] { OnViewChange(); });
   peers_ = std::make_shared<PeerLink>(state_, [this] { store_->NoteBehind(); });
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -136,7 +136,8 @@
   shape.waited = now - started_;
   shape.left = deadline_ - started_;
   const dispatch::EngineModel* engine =
-      service_ != nullptr && service_->engine && is_stream()
+      service_ != nullptr && service_->engine && is_stream() &&
+              state_.mode == dispatch::PlacementMode::kPredicted
           ? &*service_->engine
           : nullptr;
   const auto result =
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -35,6 +35,18 @@
   log.SetOnLost([this] { metrics.CountLostLine(); });
 }
 
+std::vector<dispatch::WorkItem> State::WorkAt(const TargetId& target) const {
+  switch (mode) {
+    case dispatch::PlacementMode::kPredicted:
+      return board.At(target);
+    case dispatch::PlacementMode::kLeastConnections:
+      return board.OwnAt(target);
+    case dispatch::PlacementMode::kRandom:
+      break;
+  }
+  return {};
+}
+
 std::vector<dispatch::Candidate> State::CandidatesFor(
     const ServiceId& service,
     const std::vector<TargetId>& excluded,
@@ -53,7 +65,7 @@
     dispatch::Candidate candidate;
     candidate.id = id;
     candidate.slots = entry.slots;
-    candidate.work = board.At(id);
+    candidate.work = WorkAt(id);
     candidate.near = entry.data_centre == settings.data_centre;
     candidate.cold = now < view.ColdUntil(id);
     candidate.failing = seen.Failing(now);
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -213,6 +213,14 @@
   CHECK(ReadBacklog({}, 1, kNow) == absl::ZeroDuration());
 }
 
+TEST_CASE("modes of placement are named") {
+  CHECK(ParsePlacementMode("predicted") == PlacementMode::kPredicted);
+  CHECK(ParsePlacementMode("least-connections") ==
+        PlacementMode::kLeastConnections);
+  CHECK(ParsePlacementMode("random") == PlacementMode::kRandom);
+  CHECK_FALSE(ParsePlacementMode("best"));
+}
+
 TEST_CASE("equal targets share what is placed") {
   std::vector<Candidate> candidates;
   for (int i = 0; i < 5; ++i) {
