--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -197,7 +197,7 @@
     const docopt::value& node = args.at("--node");
     return RunFront(
         node.isString() ? node.asString() : umbertrail::adapter::SettingsPath(),
-        args.at("--check").asBool());
+        args.at("--check").asBool(), args.at("--placement").asString());
   }
   const std::string path = args.at("--settings").asString();
   auto loaded = umbertrail::daemon::LoadSettings(path);
