A stream whose target keeps silent goes to another in time

Change: a target whose first events are overdue (beyond one and a half times the prediction and 300 ms, of any instance's requests) is passed over, and a resumable stream that has had no event looks for another target after twice its prediction and half of its caller's patience, within the route's attempts and the retry budget.

Tests: placement_test.cc, front_test.cc.

--- a/packages/dispatch/include/umbertrail/dispatch/load_board.h
+++ b/packages/dispatch/include/umbertrail/dispatch/load_board.h
@@ -23,6 +23,8 @@
   absl::Time since;
   // Time that its reading takes alone; zero at a plain service.
   absl::Duration read_time;
+  // From sending it to its first event, as predicted.
+  absl::Duration expected = absl::InfiniteDuration();
   // Its prompt is still being read.
   bool reading = false;
   // Only reads a part of another target's prompt; holds no slot.
--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -88,6 +88,17 @@
                            double pace,
                            absl::Time now);
 
+// How long the first event of some request at a target is overdue: beyond what
+// was predicted and a margin for the prediction's error. Zero when none is.
+absl::Duration OverdueBy(const std::vector<WorkItem>& work, absl::Time now);
+
+// When a request that has had no event should look for another target: twice
+// what was predicted and a margin, but not before half of its caller's
+// patience is used up.
+absl::Duration OverdueLimit(absl::Duration expected,
+                            absl::Duration aim,
+                            absl::Duration gap_aim);
+
 // Chooses among `candidates`. `engine` is null at a plain service. `tie` in
 // [0, 1) varies the choice among equal targets.
 PlacementResult Place(const Shape& shape,
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -32,6 +32,11 @@
 constexpr double kMaxHelperFailing = 0.1;
 // Shorter reading isn't worth a helper.
 constexpr absl::Duration kMinHelpedRead = absl::Milliseconds(600);
+// A first event may take this many times as long as predicted, and the margin.
+constexpr double kExpectedError = 1.5;
+constexpr absl::Duration kOverdueMargin = absl::Milliseconds(300);
+// A target that is overdue by this much is expected to lose what it gets.
+constexpr absl::Duration kFullyOverdue = absl::Milliseconds(500);
 // Small costs that decide among targets that are otherwise equal.
 constexpr double kPackingGain = 0.06;
 constexpr double kBacklogCostPerSecond = 0.3;
@@ -130,6 +135,9 @@
   weighed.cost += occupied < room ? -kPackingGain * occupied / room
                                   : kPackingGain * (occupied - room + 1);
   weighed.cost += StandingCost(candidate, worth);
+  weighed.cost +=
+      worth * std::min(1.0, absl::FDivDuration(OverdueBy(candidate.work, now),
+                                               kFullyOverdue));
   return weighed;
 }
 
@@ -260,6 +268,24 @@
   return std::max(absl::ZeroDuration(), free - now);
 }
 
+absl::Duration OverdueBy(const std::vector<WorkItem>& work, absl::Time now) {
+  absl::Duration overdue = absl::ZeroDuration();
+  for (const WorkItem& item : work) {
+    if (item.reading && !item.helping) {
+      overdue =
+          std::max(overdue, now - item.since - item.expected * kExpectedError -
+                                kOverdueMargin);
+    }
+  }
+  return overdue;
+}
+
+absl::Duration OverdueLimit(absl::Duration expected,
+                            absl::Duration aim,
+                            absl::Duration gap_aim) {
+  return std::max(expected * 2 + kOverdueMargin, Patience(aim, gap_aim) / 2);
+}
+
 PlacementResult Place(const Shape& shape,
                       const EngineModel* engine,
                       const std::vector<Candidate>& candidates,
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -43,6 +43,16 @@
 
   bool Admit();
   void TryPlace();
+  // The targets that may serve and were not tried.
+  std::vector<dispatch::Candidate> Candidates(absl::Time now);
+  dispatch::PlacementResult PlaceAmong(
+      const std::vector<dispatch::Candidate>& candidates,
+      absl::Time now);
+  void SendTo(const dispatch::Placed& placed);
+  // A target that keeps silent long after its first event was expected loses
+  // the request to another, where it may run again.
+  void AwaitFirstEvent();
+  void OnOverdue();
   // Sets memory aside at the helpers first, where the prompt needs it.
   void SendJointly(const dispatch::Placed& placed);
   void Send(const dispatch::Placed& placed);
@@ -74,6 +84,7 @@
   absl::Time started_;
   absl::Time deadline_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer overdue_timer_;
 
   std::vector<TargetId> tried_;
   int sends_ = 0;
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -37,6 +37,10 @@
       static_cast<uint32_t>(absl::ToInt64Milliseconds(item.read_time));
   work.flags = static_cast<uint8_t>((item.reading ? kReadingFlag : 0) |
                                     (item.helping ? kHelpingFlag : 0));
+  if (item.expected != absl::InfiniteDuration()) {
+    work.expected_ms =
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(item.expected));
+  }
   work.gap_ms =
       item.gap_aim == absl::InfiniteDuration()
           ? 0
@@ -51,6 +55,9 @@
   item.read_time = absl::Milliseconds(work.read_ms);
   item.reading = (work.flags & kReadingFlag) != 0;
   item.helping = (work.flags & kHelpingFlag) != 0;
+  if (work.expected_ms != 0) {
+    item.expected = absl::Milliseconds(work.expected_ms);
+  }
   item.gap_aim = work.gap_ms == 0 ? absl::InfiniteDuration()
                                   : absl::Milliseconds(work.gap_ms);
   item.worth = work.worth;
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace umbertrail::front {
 
-inline constexpr uint32_t kPeerMessageVersion = 1;
+inline constexpr uint32_t kPeerMessageVersion = 2;
 
 struct PeerWork {
   uint32_t age_ms = 0;
@@ -23,7 +23,9 @@
   // 0: no bound on pauses.
   uint32_t gap_ms = 0;
   float worth = 0;
-  MSGPACK_DEFINE_ARRAY(age_ms, read_ms, flags, gap_ms, worth);
+  // 0: not predicted.
+  uint32_t expected_ms = 0;
+  MSGPACK_DEFINE_ARRAY(age_ms, read_ms, flags, gap_ms, worth, expected_ms);
 };
 
 struct PeerTarget {
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -57,7 +57,8 @@
       client_(std::move(client)),
       started_(BootNow()),
       deadline_(absl::InfiniteFuture()),
-      timer_(state.loop) {}
+      timer_(state.loop),
+      overdue_timer_(state.loop) {}
 
 bool Relay::is_stream() const {
   return dispatch::IsStream(route_->repeat);
@@ -120,15 +121,40 @@
     Refuse(Refusal::kPoison, dispatch::PoisonRegister::kMemory);
     return;
   }
+  const auto candidates = Candidates(now);
+  if (candidates.empty()) {
+    Refuse(Refusal::kNoTarget, absl::Milliseconds(500));
+    return;
+  }
+  const auto result = PlaceAmong(candidates, now);
+  if (!result.placed) {
+    Refuse(Refusal::kOverloaded,
+           result.retry_after * (1 + state_.Random() / 2));
+    return;
+  }
+  SendTo(*result.placed);
+}
+
+void Relay::SendTo(const dispatch::Placed& placed) {
+  if (placed.reserve_each > Tokens(0)) {
+    SendJointly(placed);
+  } else {
+    Send(placed);
+  }
+}
+
+std::vector<dispatch::Candidate> Relay::Candidates(absl::Time now) {
   auto candidates = state_.CandidatesFor(service_id_, tried_, now);
   for (dispatch::Candidate& candidate : candidates) {
     candidate.no_helper = std::find(no_helpers_.begin(), no_helpers_.end(),
                                     candidate.id) != no_helpers_.end();
   }
-  if (candidates.empty()) {
-    Refuse(Refusal::kNoTarget, absl::Milliseconds(500));
-    return;
-  }
+  return candidates;
+}
+
+dispatch::PlacementResult Relay::PlaceAmong(
+    const std::vector<dispatch::Candidate>& candidates,
+    absl::Time now) {
   dispatch::Shape shape;
   shape.prompt = facts_.prompt;
   shape.aim = route_->aim;
@@ -140,18 +166,51 @@
               state_.mode == dispatch::PlacementMode::kPredicted
           ? &*service_->engine
           : nullptr;
-  const auto result =
-      dispatch::Place(shape, engine, candidates, now, state_.Random());
-  if (!result.placed) {
-    Refuse(Refusal::kOverloaded,
-           result.retry_after * (1 + state_.Random() / 2));
+  return dispatch::Place(shape, engine, candidates, now, state_.Random());
+}
+
+void Relay::AwaitFirstEvent() {
+  overdue_timer_.expires_after(net::ToChrono(
+      dispatch::OverdueLimit(predicted_, route_->aim, route_->gap_aim)));
+  overdue_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        auto self = weak.lock();
+        if (!error && self) {
+          self->OnOverdue();
+        }
+      });
+}
+
+void Relay::OnOverdue() {
+  const absl::Time now = BootNow();
+  if (ended_ || !connection_ || use_ == AnswerUse::kStream) {
     return;
   }
-  if (result.placed->reserve_each > Tokens(0)) {
-    SendJointly(*result.placed);
-  } else {
-    Send(*result.placed);
+  state_.health[target_].NoteFailure(now);
+  state_.health[target_].NoteFirstEvent(predicted_, now - sent_at_);
+  const bool had_run = std::exchange(may_have_run_, true);
+  const bool may = MayTryAgain(now);
+  may_have_run_ = had_run;
+  if (!may) {
+    return;
+  }
+  tried_.push_back(target_);
+  const auto result = PlaceAmong(Candidates(now), now);
+  if (!result.placed || result.placed->reserve_each > Tokens(0) ||
+      !state_.RetryBudgetOf(service_id_).Take(now, state_.instances)) {
+    tried_.pop_back();
+    return;
   }
+  state_.metrics.CountAttempt("overdue");
+  state_.log.Write(EventLog::Level::kFailure, "attempt_overdue",
+                   {{"request", facts_.id.text()},
+                    {"target", target_.text()},
+                    {"after_ms", absl::ToInt64Milliseconds(now - sent_at_)},
+                    {"expected_ms", absl::ToInt64Milliseconds(predicted_)}},
+                   now);
+  may_have_run_ = true;
+  LeaveTarget();
+  SendTo(*result.placed);
 }
 
 void Relay::SendJointly(const dispatch::Placed& placed) {
@@ -186,6 +245,7 @@
     item.read_time = dispatch::ReadTime(*service_->engine, facts_.prompt) /
                      static_cast<double>(placed.helpers.size() + 1);
     item.reading = true;
+    item.expected = placed.first_event;
   }
   work_.push_back(state_.board.Begin(placed.target, item));
   item.helping = true;
@@ -256,6 +316,9 @@
                     net::WriteRequestHead(head, client_->body()->size()),
                     client_->body(), client_->request().method == "HEAD",
                     weak_from_this());
+  if (is_stream()) {
+    AwaitFirstEvent();
+  }
 }
 
 void Relay::OnHead(const net::ResponseHead& head) {
@@ -522,6 +585,7 @@
   }
   ended_ = true;
   timer_.cancel();
+  overdue_timer_.cancel();
   LeaveTarget();
   const absl::Time now = BootNow();
   if (route_ != nullptr) {
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -213,6 +213,31 @@
   CHECK(ReadBacklog({}, 1, kNow) == absl::ZeroDuration());
 }
 
+TEST_CASE("a target whose first events are overdue is passed over") {
+  Candidate silent = Idle("silent");
+  WorkItem waiting = Writing(absl::Milliseconds(250));
+  waiting.reading = true;
+  waiting.read_time = absl::Milliseconds(34);
+  waiting.expected = absl::Milliseconds(60);
+  waiting.since = kNow - absl::Seconds(1);
+  silent.work = {waiting};
+  CHECK(OverdueBy(silent.work, kNow) == absl::Milliseconds(610));
+  CHECK(TargetOf(PlaceAt(ShortShape(), {silent, Idle("sound")})) == "sound");
+  // What has had its first event, or was sent just now, is not overdue.
+  waiting.reading = false;
+  CHECK(OverdueBy({waiting}, kNow) == absl::ZeroDuration());
+  waiting.reading = true;
+  waiting.since = kNow - absl::Milliseconds(200);
+  CHECK(OverdueBy({waiting}, kNow) == absl::ZeroDuration());
+}
+
+TEST_CASE("a request looks elsewhere after half of its caller's patience") {
+  CHECK(OverdueLimit(absl::Milliseconds(60), absl::Milliseconds(300),
+                     absl::Milliseconds(250)) == absl::Seconds(1));
+  CHECK(OverdueLimit(absl::Seconds(4), absl::Seconds(3), absl::Seconds(1)) ==
+        absl::Milliseconds(8300));
+}
+
 TEST_CASE("modes of placement are named") {
   CHECK(ParsePlacementMode("predicted") == PlacementMode::kPredicted);
   CHECK(ParsePlacementMode("least-connections") ==
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -249,6 +249,25 @@
   CHECK(HeaderOf(fleet.requests()[1], "Last-Event-Id") == "1");
 }
 
+TEST_CASE("a stream whose target keeps silent goes to another") {
+  std::atomic<int> runs{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    if (runs++ == 0) {
+      connection.AwaitClose();
+      return;
+    }
+    connection.Write(StreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n");
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/stream/x", "id1", "k1"));
+  CHECK_THAT(answer, Catch::EndsWith(Chunk(Event(1)) + "0\r\n\r\n"));
+  REQUIRE(fleet.requests().size() == 2);
+  CHECK(HeaderOf(fleet.requests()[0], "X-Expect-Instance") !=
+        HeaderOf(fleet.requests()[1], "X-Expect-Instance"));
+}
+
 TEST_CASE("a client that leaves takes its request from the target") {
   absl::Notification left;
   Fleet fleet(1, [&](FakeConnection& connection, const std::string&) {
--- a/tests/front/peer_message_test.cc
+++ b/tests/front/peer_message_test.cc
@@ -12,7 +12,7 @@
   message.incarnation = 7;
   message.sequence = 3;
   message.peers = {"10.0.0.1"};
-  message.targets = {{"t1", {{1500, 3900, 1, 250, 2.5F}}}, {"t2", {}}};
+  message.targets = {{"t1", {{1500, 3900, 1, 250, 2.5F, 4000}}}, {"t2", {}}};
   message.deaths = {{9, "t3"}};
   return message;
 }
