--- a/packages/dispatch/include/umbertrail/dispatch/freshness.h
+++ b/packages/dispatch/include/umbertrail/dispatch/freshness.h
@@ -34,6 +34,11 @@
 // many instances few of them ask, and tell the others. `turn` is uniform in
 // [0, 1); the question is put every kAgeCheck.
 bool ShouldAskStore(absl::Duration age, int live_instances, double turn);
+// After a change, those that follow it are gathered for this long: targets come
+// and go in numbers, every instance asks for each, and each call is paid for.
+// Within the time in which a change must be in force, with room to spare.
+absl::Duration GatherTime(int live_instances);
+
 inline constexpr absl::Duration kAgeCheck = absl::Milliseconds(400);
 
 }  // namespace umbertrail::dispatch
--- a/packages/dispatch/src/freshness.cc
+++ b/packages/dispatch/src/freshness.cc
@@ -10,6 +10,9 @@
 // From this age on every instance asks for itself: peers may not be reached,
 // and keys are honoured for seconds only.
 constexpr absl::Duration kAskAlone = absl::Milliseconds(2400);
+constexpr absl::Duration kGatherPerInstance = absl::Milliseconds(30);
+constexpr absl::Duration kShortestGather = absl::Milliseconds(250);
+constexpr absl::Duration kLongestGather = absl::Milliseconds(1000);
 // Instances that ask in one round, on average.
 constexpr double kAskersInRound = 2;
 
@@ -23,6 +26,11 @@
   return reading.revision > 0 && reading.revision <= known_revision;
 }
 
+absl::Duration GatherTime(int live_instances) {
+  return std::clamp(kGatherPerInstance * live_instances, kShortestGather,
+                    kLongestGather);
+}
+
 bool ShouldAskStore(absl::Duration age, int live_instances, double turn) {
   if (age < kFreshEnough) {
     return false;
--- a/packages/front/include/umbertrail/front/event_log.h
+++ b/packages/front/include/umbertrail/front/event_log.h
@@ -25,7 +25,7 @@
 class EventLog {
  public:
   // Importance decides which lines a spent budget still lets through.
-  enum class Level { kUsual, kFailure };
+  enum class Level { kUsual, kImportant };
 
   // Writes to descriptor `fd`, which is set not to block.
   EventLog(int fd, std::string instance);
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -61,6 +61,7 @@
   // After a failed attempt: another target, or the end.
   void TryAgainOrEnd(dispatch::Refusal refusal);
   bool MayTryAgain(absl::Time now);
+  bool HasTimeToTry(absl::Time now) const;
   void NoteHelperAtFault(const std::string& address);
   void PassStreamEvents();
   void PassBuffered();
@@ -100,9 +101,7 @@
   absl::Time sent_at_;
   absl::Duration predicted_;
   AnswerUse use_ = AnswerUse::kNone;
-  bool target_runs_ = false;
   bool not_run_ = false;
-  bool target_answered_ = false;
   net::ResponseHead answer_;
   std::string buffered_;
   StreamFramer framer_;
--- a/packages/front/include/umbertrail/front/store_reader.h
+++ b/packages/front/include/umbertrail/front/store_reader.h
@@ -68,6 +68,10 @@
   absl::Time last_answer_;
   absl::Duration backoff_;
   bool failing_ = false;
+  // Between an answer with changes and the next question.
+  bool gathering_ = false;
+  // Since when a peer has known something newer.
+  absl::Time behind_since_ = absl::InfinitePast();
   bool stopped_ = false;
   // Of the reading in progress.
   std::string page_after_;
--- a/packages/front/src/event_log.cc
+++ b/packages/front/src/event_log.cc
@@ -15,8 +15,8 @@
 
 constexpr double kBytesPerSecond = 64 * 1024;
 constexpr double kBurstBytes = 128 * 1024;
-// Part of the budget that only failures may use.
-constexpr double kKeptForFailures = 0.3;
+// Part of the budget that only important lines may use.
+constexpr double kKeptForImportant = 0.3;
 
 void AppendText(absl::string_view text, std::string* out) {
   *out += '"';
@@ -69,7 +69,7 @@
   }
   refilled_ = now;
   const double kept =
-      level == Level::kFailure ? 0 : kKeptForFailures * kBurstBytes;
+      level == Level::kImportant ? 0 : kKeptForImportant * kBurstBytes;
   if (budget_ - static_cast<double>(bytes) < kept) {
     return false;
   }
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -54,7 +54,7 @@
           loop_,
           [this](auto client) { OnRequest(std::move(client)); },
           [this](int status, const char* reason) {
-            state_.log.Write(EventLog::Level::kFailure, "client_fault",
+            state_.log.Write(EventLog::Level::kImportant, "client_fault",
                              {{"status", static_cast<int64_t>(status)},
                               {"reason", absl::string_view(reason)}},
                              BootNow());
@@ -114,7 +114,7 @@
     return Error{ErrorCode::kUnavailable, "the port for peers can't be bound"};
   }
   state_.log.Write(
-      EventLog::Level::kFailure, "start",
+      EventLog::Level::kImportant, "start",
       {{"callers", absl::string_view(state_.settings.callers_address)},
        {"data_centre", state_.settings.data_centre.text()}},
       BootNow());
@@ -134,7 +134,7 @@
   if (ready != was_ready_) {
     was_ready_ = ready;
     state_.log.Write(
-        EventLog::Level::kFailure, "readiness",
+        EventLog::Level::kImportant, "readiness",
         {{"ready", ready},
          {"stopping", stopping_},
          {"targets", static_cast<int64_t>(state_.view.targets().size())},
@@ -208,7 +208,7 @@
   stopping_ = true;
   stop_began_ = BootNow();
   callers_.StartDraining();
-  state_.log.Write(EventLog::Level::kFailure, "stop_begun",
+  state_.log.Write(EventLog::Level::kImportant, "stop_begun",
                    {{"open_requests", static_cast<int64_t>(callers_.busy())}},
                    stop_began_);
   ContinueStop();
@@ -238,7 +238,7 @@
 }
 
 void Front::End() {
-  state_.log.Write(EventLog::Level::kFailure, "stop_over",
+  state_.log.Write(EventLog::Level::kImportant, "stop_over",
                    {{"cut_requests", static_cast<int64_t>(callers_.busy())}},
                    BootNow());
   callers_.CloseAll();
@@ -266,7 +266,7 @@
   const std::string faults = absl::StrJoin(read.faults, "; ");
   settings_text_ = std::move(text);
   if (!read.faults.empty()) {
-    state_.log.Write(EventLog::Level::kFailure, "reload_refused",
+    state_.log.Write(EventLog::Level::kImportant, "reload_refused",
                      {{"why", absl::string_view(faults)}}, BootNow());
     return;
   }
@@ -281,7 +281,7 @@
   settings.metrics_address = state_.settings.metrics_address;
   settings.peer_port = state_.settings.peer_port;
   state_.settings = std::move(settings);
-  state_.log.Write(EventLog::Level::kFailure, "reload", {}, BootNow());
+  state_.log.Write(EventLog::Level::kImportant, "reload", {}, BootNow());
 }
 
 }  // namespace umbertrail::front
--- a/packages/front/src/joint_memory.cc
+++ b/packages/front/src/joint_memory.cc
@@ -113,7 +113,7 @@
 void JointMemory::OnOrderEnd(size_t share, bool release, bool done) {
   if (release) {
     if (!done) {
-      state_.log.Write(EventLog::Level::kFailure, "release_unanswered",
+      state_.log.Write(EventLog::Level::kImportant, "release_unanswered",
                        {{"reservation", absl::string_view(name_)},
                         {"target", shares_[share].target.text()}},
                        BootNow());
@@ -136,7 +136,7 @@
     const Done tell = std::move(done_);
     done_ = nullptr;
     state_.log.Write(
-        EventLog::Level::kFailure, "no_memory",
+        EventLog::Level::kImportant, "no_memory",
         {{"reservation", absl::string_view(name_)}, {"target", without.text()}},
         BootNow());
     shares_[share].held = true;  // It may have been taken all the same.
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -137,7 +137,7 @@
   const absl::Time now = BootNow();
   const auto decoded = DecodePeerDatagram(datagram);
   if (!IsOk(decoded)) {
-    state_.log.Write(EventLog::Level::kFailure, "peer_unreadable",
+    state_.log.Write(EventLog::Level::kImportant, "peer_unreadable",
                      {{"from", absl::string_view(from)},
                       {"why", absl::string_view(ErrorOf(decoded).message)}},
                      now);
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -13,13 +13,10 @@
 // How long the store may keep a question when nothing changes. Whether the view
 // is still true is asked for apart, by few of the instances for all.
 constexpr absl::Duration kWatchWait = absl::Seconds(10);
-// After a change, those that follow it are gathered for this long: targets come
-// and go in numbers, and each call is paid for.
-constexpr absl::Duration kGather = absl::Milliseconds(250);
 // A poll's.
 constexpr absl::Duration kNoWait = absl::Milliseconds(1);
-// A watch that has waited for less may still bring what a peer knows already.
-constexpr absl::Duration kBehindFor = absl::Milliseconds(200);
+// A watch brings a change that a peer knows within this, or has fallen silent.
+constexpr absl::Duration kBehindFor = absl::Milliseconds(400);
 // Beyond the wait; a slow store still answers within it.
 constexpr absl::Duration kAnswerLimit = absl::Milliseconds(900);
 constexpr absl::Duration kConnectLimit = absl::Milliseconds(400);
@@ -56,7 +53,7 @@
 
 void StoreReader::CheckAge() {
   const absl::Duration age = BootNow() - state_.view.confirmed_at();
-  if (phase_ == Phase::kWatch && !failing_ &&
+  if (phase_ == Phase::kWatch && !gathering_ && !failing_ &&
       dispatch::ShouldAskStore(age, state_.live_instances, state_.Random())) {
     AskNow();
   }
@@ -71,8 +68,13 @@
 }
 
 void StoreReader::NoteBehind() {
-  if (phase_ == Phase::kWatch && !failing_ &&
-      BootNow() - asked_at_ > kBehindFor) {
+  const absl::Time now = BootNow();
+  if (behind_since_ == absl::InfinitePast()) {
+    behind_since_ = now;  // The watch brings the change, as a rule.
+    return;
+  }
+  if (phase_ == Phase::kWatch && !gathering_ && !failing_ &&
+      now - behind_since_ > kBehindFor) {
     AskNow();
   }
 }
@@ -109,6 +111,7 @@
   state_.metrics.CountStoreCall(phase_ == Phase::kReadAll ? "read"
                                 : phase_ == Phase::kPoll  ? "poll"
                                                           : "watch");
+  gathering_ = false;
   body_.clear();
   status_ = 0;
   asked_at_ = BootNow();
@@ -144,7 +147,7 @@
 void StoreReader::OnEnd() {
   if (status_ == kGone) {
     state_.log.Write(
-        EventLog::Level::kFailure, "store_history_lost",
+        EventLog::Level::kImportant, "store_history_lost",
         {{"revision", static_cast<int64_t>(state_.known_revision)}}, BootNow());
     phase_ = Phase::kReadAll;
     page_after_.clear();
@@ -226,7 +229,8 @@
   if (answer.changes.empty()) {
     Ask();
   } else {
-    After(kGather, &StoreReader::Ask);
+    gathering_ = true;
+    After(dispatch::GatherTime(state_.live_instances), &StoreReader::Ask);
   }
 }
 
@@ -248,7 +252,7 @@
   if (const auto* config =
           std::get_if<dispatch::ConfigChange>(&change.change)) {
     state_.log.Write(
-        EventLog::Level::kFailure, "config_in_force",
+        EventLog::Level::kImportant, "config_in_force",
         {{"version", static_cast<int64_t>(config->config.version)},
          {"routes", static_cast<int64_t>(config->config.routes.size())},
          {"keys", static_cast<int64_t>(config->config.accounts_by_key.size())},
@@ -274,13 +278,13 @@
   } else if (const auto* closed =
                  std::get_if<dispatch::DataCentreClosed>(&change.change)) {
     state_.log.Write(
-        EventLog::Level::kFailure, "data_centre_closed",
+        EventLog::Level::kImportant, "data_centre_closed",
         {{"data_centre", closed->data_centre.text()}, {"revision", revision}},
         now);
   } else if (const auto* reopened =
                  std::get_if<dispatch::DataCentreReopened>(&change.change)) {
     state_.log.Write(
-        EventLog::Level::kFailure, "data_centre_reopened",
+        EventLog::Level::kImportant, "data_centre_reopened",
         {{"data_centre", reopened->data_centre.text()}, {"revision", revision}},
         now);
   }
@@ -311,7 +315,7 @@
 
 void StoreReader::TellFaults(const std::vector<std::string>& faults) {
   for (const std::string& fault : faults) {
-    state_.log.Write(EventLog::Level::kFailure, "unreadable_entry",
+    state_.log.Write(EventLog::Level::kImportant, "unreadable_entry",
                      {{"what", absl::string_view(fault)}}, BootNow());
   }
 }
@@ -319,11 +323,12 @@
 void StoreReader::NoteAnswered(absl::Time now) {
   if (failing_) {
     state_.log.Write(
-        EventLog::Level::kFailure, "store_regained",
+        EventLog::Level::kImportant, "store_regained",
         {{"away_ms", absl::ToInt64Milliseconds(now - last_answer_)}}, now);
     state_.view.NoteStoreReturn(last_answer_, now);
   }
   failing_ = false;
+  behind_since_ = absl::InfinitePast();
   last_answer_ = now;
   backoff_ = absl::ZeroDuration();
 }
@@ -334,7 +339,7 @@
     connection_.reset();
   }
   if (!failing_) {
-    state_.log.Write(EventLog::Level::kFailure, "store_lost",
+    state_.log.Write(EventLog::Level::kImportant, "store_lost",
                      {{"why", why}, {"status", static_cast<int64_t>(status)}},
                      BootNow());
   }
--- a/tests/dispatch/freshness_test.cc
+++ b/tests/dispatch/freshness_test.cc
@@ -38,6 +38,13 @@
   CHECK_FALSE(Confirms(reading, 6));
 }
 
+TEST_CASE("changes are gathered for longer where many instances ask") {
+  CHECK(GatherTime(1) == absl::Milliseconds(250));
+  CHECK(GatherTime(8) == absl::Milliseconds(250));
+  CHECK(GatherTime(20) == absl::Milliseconds(600));
+  CHECK(GatherTime(400) == absl::Seconds(1));
+}
+
 TEST_CASE("few of many instances ask, and every one that is left alone") {
   int asking = 0;
   for (int i = 0; i < 1000; ++i) {
--- a/tests/front/event_log_test.cc
+++ b/tests/front/event_log_test.cc
@@ -60,7 +60,7 @@
   absl::Time now = kStart;
   for (int i = 0; i < 5000; ++i) {
     now += absl::Milliseconds(10);
-    log.Write(EventLog::Level::kFailure, "failed",
+    log.Write(EventLog::Level::kImportant, "failed",
               {{"why", absl::string_view(text)}}, now);
   }
   std::istringstream lines(pipe.ReadAll());
@@ -72,7 +72,7 @@
   }
   CHECK(whole > 10);
   // The pipe has room again: the next lines tell how many were left out.
-  log.Write(EventLog::Level::kFailure, "after", {}, now);
+  log.Write(EventLog::Level::kImportant, "after", {}, now);
   CHECK_THAT(pipe.ReadAll(), Catch::Contains("lines_left_out"));
 }
 
@@ -88,7 +88,7 @@
   log.Write(EventLog::Level::kUsual, "usual",
             {{"why", absl::string_view(text)}}, kStart);
   CHECK(pipe.ReadAll().empty());
-  log.Write(EventLog::Level::kFailure, "failure", {}, kStart);
+  log.Write(EventLog::Level::kImportant, "failure", {}, kStart);
   CHECK_THAT(pipe.ReadAll(), Catch::Contains("failure"));
 }
 
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -193,6 +193,24 @@
         HeaderOf(fleet.requests()[1], "X-Expect-Instance"));
 }
 
+TEST_CASE("a target's own failure is passed on when the budget is spent") {
+  Fleet fleet(2, [](FakeConnection& connection, const std::string& request) {
+    connection.Write("HTTP/1.1 500 X\r\n" + EchoId(request) +
+                     "Content-Length: 3\r\n\r\nwhy");
+  });
+  adapter::InstanceSettings settings = testing::LoopbackSettings(fleet.store());
+  settings.retry_slack = 0;
+  settings.retry_ratio = 0;
+  RunningFront front(settings);
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/safe/x", "id1", "k1"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 500"));
+  CHECK_THAT(answer, Catch::EndsWith("why"));
+  CHECK(HeaderOf(answer, "X-Response-Seal") == "seal");
+  CHECK(fleet.requests().size() == 1);
+}
+
 TEST_CASE(
     "a target that states that nothing ran lets an unsafe one answer 503") {
   Fleet fleet(2, [](FakeConnection& connection, const std::string&) {
