--- a/packages/daemon/src/adapters.h
+++ b/packages/daemon/src/adapters.h
@@ -8,10 +8,10 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
+#include "umbertrail/confservice/client.h"
 #include "umbertrail/daemon/caller_server.h"
 #include "umbertrail/daemon/ports.h"
 #include "umbertrail/peer/peer_links.h"
-#include "umbertrail/confservice/client.h"
 #include "umbertrail/target/client.h"
 #include "umbertrail/telemetry.h"
 
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -57,7 +57,8 @@
   return target;
 }
 
-confservice::PlatformClientSettings PlatformSettingsOf(const Settings& settings) {
+confservice::PlatformClientSettings PlatformSettingsOf(
+    const Settings& settings) {
   confservice::PlatformClientSettings platform;
   platform.address = settings.platform_address;
   platform.ca_path = settings.tls_platform_ca;
