--- a/packages/front/include/umbertrail/front/joint_memory.h
+++ b/packages/front/include/umbertrail/front/joint_memory.h
@@ -38,7 +38,6 @@
 
   void Send(size_t share, bool release);
   void OnOrderEnd(size_t share, bool release, bool done);
-  void ProlongLater();
   void Prolong();
 
   State& state_;
@@ -47,7 +46,7 @@
   std::vector<Share> shares_;
   std::vector<std::shared_ptr<Order>> orders_;
   Done done_;
-  boost::asio::steady_timer timer_;
+  net::Alarm alarm_;
   bool released_ = false;
 };
 
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -62,8 +62,8 @@
   State& state_;
   std::function<void()> on_behind_;
   boost::asio::ip::udp::socket socket_;
-  boost::asio::steady_timer heartbeat_;
-  boost::asio::steady_timer flush_;
+  net::Alarm heartbeat_;
+  net::Alarm flush_;
   bool flush_armed_ = false;
   uint64_t incarnation_;
   uint64_t sequence_ = 0;
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -51,7 +51,6 @@
   void SendTo(const dispatch::Placed& placed);
   // A target that keeps silent long after its first event was expected loses
   // the request to another, where it may run again.
-  void AwaitFirstEvent();
   void OnOverdue();
   // Sets memory aside at the helpers first, where the prompt needs it.
   void SendJointly(const dispatch::Placed& placed);
@@ -84,8 +83,8 @@
   Fingerprint content_;
   absl::Time started_;
   absl::Time deadline_;
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer overdue_timer_;
+  net::Alarm deadline_alarm_;
+  net::Alarm overdue_alarm_;
 
   std::vector<TargetId> tried_;
   int sends_ = 0;
--- a/packages/front/include/umbertrail/front/store_reader.h
+++ b/packages/front/include/umbertrail/front/store_reader.h
@@ -53,14 +53,12 @@
   void TellChange(const dispatch::Revised& change, absl::Time now);
   // Deaths and connections of targets that have gone or started anew.
   void NoteRestarts(const dispatch::Revised& change, absl::Time now);
-  void After(absl::Duration wait, void (StoreReader::*then)());
 
   State& state_;
   std::function<void()> on_change_;
   std::shared_ptr<net::ClientConnection> connection_;
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer age_timer_;
-  uint64_t timer_round_ = 0;
+  net::Alarm alarm_;
+  net::Alarm age_alarm_;
   Phase phase_ = Phase::kReadAll;
   int status_ = 0;
   std::string body_;
--- a/packages/front/src/joint_memory.cc
+++ b/packages/front/src/joint_memory.cc
@@ -28,7 +28,7 @@
       : owner_(std::move(owner)),
         share_(share),
         release_(release),
-        timer_(owner_->state_.loop) {}
+        alarm_(owner_->state_.loop) {}
 
   void Send() {
     const Share& share = owner_->shares_[share_];
@@ -43,14 +43,7 @@
                       net::WriteRequestHead(call.head, call.body.size()),
                       std::make_shared<std::string>(call.body),
                       /*answer_has_no_body=*/false, weak_from_this());
-    timer_.expires_after(net::ToChrono(kOrderLimit));
-    timer_.async_wait(
-        [weak = weak_from_this()](const boost::system::error_code& error) {
-          auto self = weak.lock();
-          if (!error && self) {
-            self->End(false);
-          }
-        });
+    alarm_.Set(kOrderLimit, shared_from_this(), &Order::OnTimeLimit);
   }
 
   void OnHead(const net::ResponseHead& head) override { status_ = head.status; }
@@ -59,12 +52,13 @@
   void OnFailure(net::CallFailure) override { End(false); }
 
  private:
+  void OnTimeLimit() { End(false); }
   void End(bool done) {
     if (ended_) {
       return;
     }
     ended_ = true;
-    timer_.cancel();
+    alarm_.Cancel();
     const auto self = shared_from_this();
     if (connection_->Reusable()) {
       owner_->state_.pool.Give(owner_->shares_[share_].target, connection_);
@@ -83,11 +77,11 @@
   int status_ = 0;
   bool ended_ = false;
   std::shared_ptr<net::ClientConnection> connection_;
-  boost::asio::steady_timer timer_;
+  net::Alarm alarm_;
 };
 
 JointMemory::JointMemory(State& state, std::string name, Tokens each)
-    : state_(state), name_(std::move(name)), each_(each), timer_(state.loop) {}
+    : state_(state), name_(std::move(name)), each_(each), alarm_(state.loop) {}
 
 std::string JointMemory::IdAt(const TargetId&) const {
   return name_;
@@ -148,27 +142,16 @@
                   [](const Share& one) { return one.held; })) {
     const Done tell = std::move(done_);
     done_ = nullptr;
-    ProlongLater();
+    alarm_.Set(kProlongAfter, shared_from_this(), &JointMemory::Prolong);
     tell(nullptr);
   }
 }
 
-void JointMemory::ProlongLater() {
-  timer_.expires_after(net::ToChrono(kProlongAfter));
-  timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self && !self->released_) {
-          self->Prolong();
-        }
-      });
-}
-
 void JointMemory::Prolong() {
   for (size_t i = 0; i < shares_.size(); ++i) {
     Send(i, /*release=*/false);
   }
-  ProlongLater();
+  alarm_.Set(kProlongAfter, shared_from_this(), &JointMemory::Prolong);
 }
 
 void JointMemory::Release() {
@@ -177,7 +160,7 @@
   }
   released_ = true;
   done_ = nullptr;
-  timer_.cancel();
+  alarm_.Cancel();
   for (size_t i = 0; i < shares_.size(); ++i) {
     if (shares_[i].held) {
       Send(i, /*release=*/true);
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -111,8 +111,8 @@
   message.whole = true;
   message.leaving = true;
   SendToAll(EncodePeerMessage(message), /*also_silent=*/false);
-  heartbeat_.cancel();
-  flush_.cancel();
+  heartbeat_.Cancel();
+  flush_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
@@ -278,14 +278,7 @@
   SendToAll(Encode(state_.board.OwnTargets(), /*whole=*/true),
             /*also_silent=*/true);
   (void)state_.board.TakeChanged();
-  heartbeat_.expires_after(net::ToChrono(kHeartbeat));
-  heartbeat_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self) {
-          self->Heartbeat();
-        }
-      });
+  heartbeat_.Set(kHeartbeat, shared_from_this(), &PeerLink::Heartbeat);
 }
 
 void PeerLink::CountInstances(absl::Time now) {
@@ -302,15 +295,8 @@
     return;
   }
   flush_armed_ = true;
-  flush_.expires_after(net::ToChrono(kFlushWaitPerPeer *
-                                     static_cast<double>(peers_.size() + 1)));
-  flush_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self) {
-          self->Flush();
-        }
-      });
+  flush_.Set(kFlushWaitPerPeer * static_cast<double>(peers_.size() + 1),
+             shared_from_this(), &PeerLink::Flush);
 }
 
 void PeerLink::Flush() {
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -49,8 +49,8 @@
       client_(std::move(client)),
       started_(BootNow()),
       deadline_(absl::InfiniteFuture()),
-      timer_(state.loop),
-      overdue_timer_(state.loop) {}
+      deadline_alarm_(state.loop),
+      overdue_alarm_(state.loop) {}
 
 bool Relay::is_stream() const {
   return dispatch::IsStream(route_->repeat);
@@ -66,14 +66,7 @@
                  StableHash(account_.text(), StableHash(*client_->body()))));
   const absl::Duration kept = std::min(facts_.time_left, route_->timeout);
   deadline_ = started_ + kept;
-  timer_.expires_after(net::ToChrono(kept));
-  timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self) {
-          self->OnDeadline();
-        }
-      });
+  deadline_alarm_.Set(kept, shared_from_this(), &Relay::OnDeadline);
   state_.RetryBudgetOf(service_id_).NoteRequest(started_);
   TryPlace();
 }
@@ -161,18 +154,6 @@
   return dispatch::Place(shape, engine, candidates, now, state_.Random());
 }
 
-void Relay::AwaitFirstEvent() {
-  overdue_timer_.expires_after(net::ToChrono(
-      dispatch::OverdueLimit(predicted_, route_->aim, route_->gap_aim)));
-  overdue_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self) {
-          self->OnOverdue();
-        }
-      });
-}
-
 void Relay::OnOverdue() {
   const absl::Time now = BootNow();
   if (ended_ || !connection_ || use_ == AnswerUse::kStream) {
@@ -309,7 +290,9 @@
                     client_->body(), client_->request().method == "HEAD",
                     weak_from_this());
   if (is_stream()) {
-    AwaitFirstEvent();
+    overdue_alarm_.Set(
+        dispatch::OverdueLimit(predicted_, route_->aim, route_->gap_aim),
+        shared_from_this(), &Relay::OnOverdue);
   }
 }
 
@@ -377,8 +360,8 @@
     return;
   }
   ended_ = true;
-  timer_.cancel();
-  overdue_timer_.cancel();
+  deadline_alarm_.Cancel();
+  overdue_alarm_.Cancel();
   LeaveTarget();
   const absl::Time now = BootNow();
   if (route_ != nullptr) {
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -32,8 +32,8 @@
 StoreReader::StoreReader(State& state, std::function<void()> on_change)
     : state_(state),
       on_change_(std::move(on_change)),
-      timer_(state.loop),
-      age_timer_(state.loop),
+      alarm_(state.loop),
+      age_alarm_(state.loop),
       last_answer_(BootNow()) {}
 
 void StoreReader::Start() {
@@ -43,9 +43,8 @@
 
 void StoreReader::Stop() {
   stopped_ = true;
-  ++timer_round_;
-  timer_.cancel();
-  age_timer_.cancel();
+  alarm_.Cancel();
+  age_alarm_.Cancel();
   if (connection_) {
     connection_->Close();
   }
@@ -57,14 +56,8 @@
       dispatch::ShouldAskStore(age, state_.live_instances, state_.Random())) {
     AskNow();
   }
-  age_timer_.expires_after(net::ToChrono(dispatch::kAgeCheck));
-  age_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self) {
-          self->CheckAge();
-        }
-      });
+  age_alarm_.Set(dispatch::kAgeCheck, shared_from_this(),
+                 &StoreReader::CheckAge);
 }
 
 void StoreReader::NoteBehind() {
@@ -88,18 +81,6 @@
   Ask();
 }
 
-void StoreReader::After(absl::Duration wait, void (StoreReader::*then)()) {
-  const uint64_t round = ++timer_round_;
-  timer_.expires_after(net::ToChrono(wait));
-  timer_.async_wait([weak = weak_from_this(), round,
-                     then](const boost::system::error_code& error) {
-    auto self = weak.lock();
-    if (!error && self && self->timer_round_ == round) {
-      (self.get()->*then)();
-    }
-  });
-}
-
 void StoreReader::Ask() {
   if (stopped_) {
     return;
@@ -122,7 +103,8 @@
                     ? adapter::ReadAllTarget(page_after_)
                     : adapter::WatchTarget(state_.known_revision, wait);
   head.headers.Add("Host", state_.settings.store_address);
-  After(wait + kAnswerLimit, &StoreReader::OnTimeLimit);
+  alarm_.Set(wait + kAnswerLimit, shared_from_this(),
+             &StoreReader::OnTimeLimit);
   connection_->Call(*endpoint, kConnectLimit, kSilence,
                     net::WriteRequestHead(head, 0), nullptr,
                     /*answer_has_no_body=*/false, weak_from_this());
@@ -230,7 +212,8 @@
     Ask();
   } else {
     gathering_ = true;
-    After(dispatch::GatherTime(state_.live_instances), &StoreReader::Ask);
+    alarm_.Set(dispatch::GatherTime(state_.live_instances), shared_from_this(),
+               &StoreReader::Ask);
   }
 }
 
@@ -350,7 +333,7 @@
     phase_ = Phase::kPoll;
   }
   backoff_ = std::clamp(backoff_ * 2, kFirstBackoff, kMaxBackoff);
-  After(backoff_, &StoreReader::Ask);
+  alarm_.Set(backoff_, shared_from_this(), &StoreReader::Ask);
 }
 
 }  // namespace umbertrail::front
--- /dev/null
+++ b/packages/net/include/umbertrail/net/alarm.h
@@ -0,0 +1,49 @@
+#ifndef UMBERTRAIL_NET_ALARM_H_
+#define UMBERTRAIL_NET_ALARM_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+
+#include "absl/time/time.h"
+#include "umbertrail/net/socket.h"
+
+namespace umbertrail::net {
+
+// One alarm of an object that is held by shared pointers: a member of it. Only
+// the last setting counts, also when an earlier one has run out already and
+// waits for its turn.
+class Alarm {
+ public:
+  explicit Alarm(Loop& loop) : timer_(loop) {}
+
+  // Calls `then` after `wait`, unless `owner` is gone by then. The alarm must
+  // be a member of `owner`.
+  template <typename Owner>
+  void Set(absl::Duration wait,
+           const std::shared_ptr<Owner>& owner,
+           void (Owner::*then)()) {
+    const uint64_t round = ++round_;
+    timer_.expires_after(ToChrono(wait));
+    timer_.async_wait([this, weak = std::weak_ptr<Owner>(owner), round,
+                       then](const boost::system::error_code& error) {
+      const auto self = weak.lock();
+      if (!error && self && round == round_) {
+        (self.get()->*then)();
+      }
+    });
+  }
+
+  void Cancel() {
+    ++round_;
+    timer_.cancel();
+  }
+
+ private:
+  boost::asio::steady_timer timer_;
+  uint64_t round_ = 0;
+};
+
+}  // namespace umbertrail::net
+
+#endif  // UMBERTRAIL_NET_ALARM_H_
--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -7,6 +7,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "umbertrail/net/alarm.h"
 #include "umbertrail/net/message.h"
 #include "umbertrail/net/socket.h"
 
@@ -70,6 +71,7 @@
   enum class State { kNew, kConnecting, kCalling, kIdle, kClosed };
 
   void OnConnected();
+  void OnConnectLimit();
   void Send();
   void ReadMore();
   void OnRead(const boost::system::error_code& error);
@@ -79,13 +81,11 @@
   void OnWritten(bool ok);
   void EndCall();
   void NoteKeepAlive(const ResponseHead& head);
-  void ArmIdleTimer();
 
   Loop& loop_;
   Tcp::socket socket_;
   WriteQueue writes_;
-  boost::asio::steady_timer timer_;
-  uint64_t timer_round_ = 0;
+  Alarm alarm_;
   Endpoint endpoint_;
   State state_ = State::kNew;
   std::string head_;
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -10,6 +10,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "umbertrail/net/alarm.h"
 #include "umbertrail/net/message.h"
 #include "umbertrail/net/socket.h"
 
@@ -81,7 +82,6 @@
   // Null when the framing of a parsed head is unambiguous.
   const char* FramingFault() const;
   void OnRequestRead();
-  void ArmTimer(absl::Duration wait);
   void OnTimer();
   void OnWritten(bool ok);
   void Close();
@@ -92,8 +92,7 @@
   HttpServer& server_;
   Tcp::socket socket_;
   WriteQueue writes_;
-  boost::asio::steady_timer timer_;
-  uint64_t timer_round_ = 0;
+  Alarm alarm_;
   State state_ = State::kIdle;
   bool reading_ = false;
   bool close_after_answer_ = false;
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -60,7 +60,7 @@
     : loop_(loop),
       socket_(loop),
       writes_(socket_, [this](bool ok) { OnWritten(ok); }),
-      timer_(loop) {}
+      alarm_(loop) {}
 
 ClientConnection::~ClientConnection() = default;
 
@@ -80,8 +80,7 @@
   sent_ = head_told_ = answer_begun_ = ended_ = held_ = false;
   buffer_.clear();
   idle_limit_ = kDefaultIdle;
-  ++timer_round_;
-  timer_.cancel();
+  alarm_.Cancel();
   if (state_ == State::kIdle) {
     state_ = State::kCalling;
     Send();
@@ -90,15 +89,8 @@
   }
   state_ = State::kConnecting;
   endpoint_ = endpoint;
-  const uint64_t round = ++timer_round_;
-  timer_.expires_after(ToChrono(connect_limit));
-  timer_.async_wait(
-      [weak = weak_from_this(), round](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self && self->timer_round_ == round) {
-          self->Fail(CallFailure::kNotConnected);
-        }
-      });
+  alarm_.Set(connect_limit, shared_from_this(),
+             &ClientConnection::OnConnectLimit);
   socket_.async_connect(endpoint, [self = shared_from_this(), silence](
                                       const boost::system::error_code& error) {
     if (self->state_ != State::kConnecting) {
@@ -113,9 +105,12 @@
   });
 }
 
+void ClientConnection::OnConnectLimit() {
+  Fail(CallFailure::kNotConnected);
+}
+
 void ClientConnection::OnConnected() {
-  ++timer_round_;
-  timer_.cancel();
+  alarm_.Cancel();
   state_ = State::kCalling;
   Send();
   ReadMore();
@@ -242,7 +237,7 @@
   if (usable) {
     state_ = State::kIdle;
     held_ = false;
-    ArmIdleTimer();
+    alarm_.Set(idle_limit_, shared_from_this(), &ClientConnection::Close);
     ReadMore();  // Hears of the other end's closing.
   } else {
     Close();
@@ -252,18 +247,6 @@
   }
 }
 
-void ClientConnection::ArmIdleTimer() {
-  const uint64_t round = ++timer_round_;
-  timer_.expires_after(ToChrono(idle_limit_));
-  timer_.async_wait(
-      [weak = weak_from_this(), round](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self && self->timer_round_ == round) {
-          self->Close();
-        }
-      });
-}
-
 void ClientConnection::HoldReading(bool hold) {
   held_ = hold;
   if (!hold && state_ == State::kCalling) {
@@ -289,8 +272,7 @@
   }
   state_ = State::kClosed;
   listener_.reset();
-  ++timer_round_;
-  timer_.cancel();
+  alarm_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -36,7 +36,7 @@
     : server_(server),
       socket_(std::move(socket)),
       writes_(socket_, [this](bool ok) { OnWritten(ok); }),
-      timer_(server.loop_) {
+      alarm_(server.loop_) {
   server_.connections_.insert(this);
 }
 
@@ -60,7 +60,8 @@
   request_ = {};
   watcher_.reset();
   state_ = State::kIdle;
-  ArmTimer(server_.limits_.idle_timeout);
+  alarm_.Set(server_.limits_.idle_timeout, shared_from_this(),
+             &ServerConnection::OnTimer);
 }
 
 void ServerConnection::ReadMore() {
@@ -96,7 +97,8 @@
     return;
   }
   if (state_ == State::kReadingBody && bytes > 0) {
-    ArmTimer(server_.limits_.header_timeout);
+    alarm_.Set(server_.limits_.header_timeout, shared_from_this(),
+               &ServerConnection::OnTimer);
   }
   if (state_ != State::kAnswering) {
     Parse();
@@ -121,7 +123,8 @@
   }
   if (state_ == State::kIdle) {
     state_ = State::kReadingHead;
-    ArmTimer(server_.limits_.header_timeout);
+    alarm_.Set(server_.limits_.header_timeout, shared_from_this(),
+               &ServerConnection::OnTimer);
   }
   boost::beast::error_code error;
   const size_t taken = reader_->message.Feed(buffer_, error);
@@ -190,8 +193,7 @@
 
 void ServerConnection::OnRequestRead() {
   state_ = State::kAnswering;
-  ++timer_round_;
-  timer_.cancel();
+  alarm_.Cancel();
   close_after_answer_ = !reader_->message.keep_alive();
   if (server_.no_further_requests_) {
     Refuse(503, "Service Unavailable");
@@ -285,7 +287,7 @@
 void ServerConnection::CloseGracefully() {
   draining_to_close_ = true;
   watcher_.reset();
-  ArmTimer(kCloseWait);
+  alarm_.Set(kCloseWait, shared_from_this(), &ServerConnection::OnTimer);
   if (writes_.pending_bytes() == 0) {
     boost::system::error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -314,18 +316,6 @@
   }
 }
 
-void ServerConnection::ArmTimer(absl::Duration wait) {
-  const uint64_t round = ++timer_round_;
-  timer_.expires_after(ToChrono(wait));
-  timer_.async_wait(
-      [weak = weak_from_this(), round](const boost::system::error_code& error) {
-        auto self = weak.lock();
-        if (!error && self && self->timer_round_ == round) {
-          self->OnTimer();
-        }
-      });
-}
-
 void ServerConnection::OnTimer() {
   if (state_ == State::kReadingHead || state_ == State::kReadingBody) {
     Refuse(408, "Request Timeout");
@@ -345,8 +335,7 @@
   }
   state_ = State::kClosed;
   watcher_.reset();
-  ++timer_round_;
-  timer_.cancel();
+  alarm_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
