A stream whose continuation fails is cut, never ended

Cause, found by reading the change once more: when a stream broke and the target that was to go on with it answered with a failure, that answer's body was sent behind the events already passed on and the stream was ended as complete. Now such an answer is no part of the stream: the client's connection is cut, so that it may go on elsewhere.

Test, which failed first: tests/front/front_test.cc, "a stream whose continuation fails is cut, never ended".

--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -47,6 +47,9 @@
   use_ = is_stream() && success ? AnswerUse::kStream : AnswerUse::kPass;
   if (use_ == AnswerUse::kStream) {
     answer_.length.reset();
+  } else if (answer_begun_) {
+    // Another target was to go on with a stream: its refusal is no part of it.
+    use_ = AnswerUse::kDrop;
   }
 }
 
@@ -154,6 +157,11 @@
     return;
   }
   may_have_run_ = true;
+  if (use_ == AnswerUse::kDrop) {
+    state_.health[target_].NoteFailure(now);
+    TryAgainOrEnd(Refusal::kTargetFailed);
+    return;
+  }
   if (answer_.status >= kServerError) {
     state_.health[target_].NoteFailure(now);
     if (!answer_begun_ && MayTryAgain(now) &&
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -286,6 +286,28 @@
         HeaderOf(fleet.requests()[1], "X-Expect-Instance"));
 }
 
+TEST_CASE("a stream whose continuation fails is cut, never ended") {
+  std::atomic<int> runs{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    if (runs++ == 0) {
+      connection.Write(StreamHead(request) + Chunk(Event(1)) +
+                       "not a chunk\r\n");
+      connection.AwaitClose();
+      return;
+    }
+    connection.Write("HTTP/1.1 500 X\r\n" + EchoId(request) +
+                     "Content-Length: 3\r\n\r\nwhy");
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  RawClient client(front.callers());
+  client.Send(PlatformRequest("/stream/x", "id1", "k1"));
+  const std::string answer = client.ReadUntil("0\r\n\r\n");
+  CHECK_THAT(answer, Catch::EndsWith(Chunk(Event(1))));
+  CHECK_THAT(answer, !Catch::Contains("why"));
+  CHECK(fleet.requests().size() == 2);
+}
+
 TEST_CASE("a client that leaves takes its request from the target") {
   absl::Notification left;
   Fleet fleet(1, [&](FakeConnection& connection, const std::string&) {
