Relay and joint memory: three things said once

The reservation's name needed no target to be asked for; passing on what was buffered is one function; whether a silent target's request may go elsewhere is asked without setting a flag and back. Behaviour the same, tests unchanged.

--- a/packages/front/include/umbertrail/front/joint_memory.h
+++ b/packages/front/include/umbertrail/front/joint_memory.h
@@ -25,8 +25,8 @@
   void Reserve(const std::vector<TargetId>& targets, Done done);
   // Gives everything back; also what is still being asked for.
   void Release();
-  // The reservation at one of the targets.
-  std::string IdAt(const TargetId& target) const;
+  // The reservation's name, the same at all targets.
+  const std::string& name() const { return name_; }
 
  private:
   class Order;
--- a/packages/front/src/joint_memory.cc
+++ b/packages/front/src/joint_memory.cc
@@ -33,11 +33,10 @@
   void Send() {
     const Share& share = owner_->shares_[share_];
     const auto endpoint = net::ParseEndpoint(share.address);
-    const std::string id = owner_->IdAt(share.target);
     const adapter::OrderCall call =
-        release_
-            ? adapter::ReleaseOrder(share.address, id)
-            : adapter::ReserveOrder(share.address, id, owner_->each_, kHold);
+        release_ ? adapter::ReleaseOrder(share.address, owner_->name_)
+                 : adapter::ReserveOrder(share.address, owner_->name_,
+                                         owner_->each_, kHold);
     connection_ = owner_->state_.pool.Take(share.target, *endpoint);
     connection_->Call(*endpoint, kConnectLimit, kSilence,
                       net::WriteRequestHead(call.head, call.body.size()),
@@ -83,10 +82,6 @@
 JointMemory::JointMemory(State& state, std::string name, Tokens each)
     : state_(state), name_(std::move(name)), each_(each), alarm_(state.loop) {}
 
-std::string JointMemory::IdAt(const TargetId&) const {
-  return name_;
-}
-
 void JointMemory::Reserve(const std::vector<TargetId>& targets, Done done) {
   done_ = std::move(done);
   for (const TargetId& target : targets) {
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -161,10 +161,8 @@
   }
   state_.health[target_].NoteFailure(now);
   state_.health[target_].NoteFirstEvent(predicted_, now - sent_at_);
-  const bool had_run = std::exchange(may_have_run_, true);
-  const bool may = MayTryAgain(now);
-  may_have_run_ = had_run;
-  if (!may) {
+  // What waits there may run, although nothing has come of it.
+  if (!dispatch::MayRunAgain(route_->repeat) || !MayTryAgain(now)) {
     return;
   }
   tried_.push_back(target_);
@@ -262,8 +260,7 @@
   for (const TargetId& helper : placed.helpers) {
     const dispatch::TargetEntry* found = state_.view.Find(helper);
     if (found != nullptr) {
-      send.helpers.push_back(
-          {found->address, memory_ ? memory_->IdAt(helper) : ""});
+      send.helpers.push_back({found->address, memory_ ? memory_->name() : ""});
     }
   }
   const net::RequestHead head = adapter::WriteRequest(client_->request(), send);
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -178,13 +178,10 @@
     BeginAnswerOnce();
     client_->SendBody(rest);
   } else {
-    if (answer_begun_) {
-      client_->SendBody(buffered_);
-    } else {
+    if (!answer_begun_) {
       answer_.length = buffered_.size();
-      BeginAnswerOnce();
-      client_->SendBody(buffered_);
     }
+    PassBuffered();
   }
   client_->Finish();
   Finish("answered");
