Instances: a life is told by a random number, not by the time of day

Cause, found by reading: an instance numbered its lives by the time of day, and its peers ignored a lower number as overtaken. After a clock that stepped back and a restart they would have ignored it for as long as they ran: its load unseen, its confirmations unheard. The state's random number of this life, which the names of reservations use, serves both now; another number is another life.

Test, which failed first: tests/front/peer_link_test.cc, "a peer that has started anew is heard whatever its number".

--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -36,7 +36,7 @@
  private:
   struct Peer {
     absl::Time heard;
-    // Tells two lives of an instance apart.
+    // Tells two lives of an instance apart; drawn at random, in no order.
     uint64_t incarnation = 0;
     uint64_t last_sequence = 0;
     // Its own time of its last message, and ours of receiving it.
@@ -65,7 +65,6 @@
   net::Alarm heartbeat_;
   net::Alarm flush_;
   bool flush_armed_ = false;
-  uint64_t incarnation_;
   uint64_t sequence_ = 0;
   // By address without the port.
   std::map<std::string, Peer> peers_;
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -71,8 +71,7 @@
       on_behind_(std::move(on_behind)),
       socket_(state.loop),
       heartbeat_(state.loop),
-      flush_(state.loop),
-      incarnation_(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now()))) {
+      flush_(state.loop) {
   for (const std::string& seed : state_.settings.seeds) {
     const std::string host = HostOf(seed);
     if (host != state_.settings.ip) {
@@ -106,7 +105,7 @@
 
 void PeerLink::Stop() {
   PeerMessage message;
-  message.incarnation = incarnation_;
+  message.incarnation = state_.life;
   message.sequence = ++sequence_;
   message.whole = true;
   message.leaving = true;
@@ -146,9 +145,8 @@
   const PeerMessage& message = ValueOf(decoded).message;
   Peer& peer = peers_[from];
   const InstanceId id(from);
-  if (message.incarnation < peer.incarnation ||
-      (message.incarnation == peer.incarnation &&
-       message.sequence <= peer.last_sequence)) {
+  if (message.incarnation == peer.incarnation &&
+      message.sequence <= peer.last_sequence) {
     return;  // Overtaken by a newer one.
   }
   if (message.incarnation != peer.incarnation || message.whole) {
@@ -212,7 +210,7 @@
 std::string PeerLink::Encode(const std::vector<TargetId>& targets, bool whole) {
   const absl::Time now = BootNow();
   PeerMessage message;
-  message.incarnation = incarnation_;
+  message.incarnation = state_.life;
   message.sequence = ++sequence_;
   message.whole = whole;
   if (whole) {
