--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -47,8 +47,12 @@
   int max_admissions = 12;
   // Heartbeat of granted places to their owners.
   absl::Duration heartbeat = absl::Seconds(5);
-  // How long a broken target may take to show whether it died.
+  // How long a request waits for a broken target to show whether it died; then
+  // the target is asked again at this interval.
   absl::Duration post_mortem = absl::Milliseconds(1500);
+  // How long it is asked. A run whose target never answers stays open at the
+  // homes of its content, where it ends as a death.
+  absl::Duration post_mortem_limit = absl::Seconds(30);
   // When to send a call again whose key's homes can't all answer for it.
   absl::Duration key_retry = absl::Seconds(5);
   // Times that a submission is passed to its ticket's issuer.
@@ -153,7 +157,9 @@
     BootId boot;
     std::vector<InstanceId> screen_homes;
     AttemptNumber screen_attempt;
+    // When to ask the target again, and when to ask no more.
     absl::Time until;
+    absl::Time give_up;
   };
 
   // A death told to the homes; told again, since a message may be lost while
@@ -292,6 +298,13 @@
   void GiveUpAttempt(ActiveRequest* r, Actions* actions);
   void RepeatCancels(absl::Time now, Actions* actions);
   void RepeatDeathNotices(absl::Time now, Actions* actions);
+  // Lets requests go on whose target has not answered in time, and asks it
+  // again: only an answer tells whether it died.
+  void RepeatPostMortems(absl::Time now, Actions* actions);
+  void GoOnAfter(absl::Time now,
+                 const PostMortem& post_mortem,
+                 bool died,
+                 Actions* actions);
   void ResolvePostMortem(absl::Time now,
                          const PostMortem& post_mortem,
                          bool died,
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -166,9 +166,14 @@
   r->excluded.insert(lead.target);
   r->answer.DropWaiting();
   if (!answered) {
+    // Without content to screen nobody needs to know later.
+    const bool matters = r->spec.fingerprint != Fingerprint(0);
+    const absl::Duration limit =
+        matters ? config_.post_mortem_limit : config_.post_mortem;
     post_mortems_.push_back({r->spec.id, r->attempt, r->spec.fingerprint,
                              lead.target, lead.boot, r->screen_homes,
-                             r->screen_attempt, now + config_.post_mortem});
+                             r->screen_attempt, now + config_.post_mortem,
+                             now + limit});
     ForgetScreen(r);
     actions->push_back(PollTarget{lead.target});
   }
@@ -259,6 +264,13 @@
       }
     }
   }
+  GoOnAfter(now, post_mortem, died, actions);
+}
+
+void RequestFlow::GoOnAfter(absl::Time now,
+                            const PostMortem& post_mortem,
+                            bool died,
+                            Actions* actions) {
   ActiveRequest* r = table_.Find(post_mortem.request);
   if (r != nullptr && r->awaits_post_mortem &&
       r->attempt == post_mortem.attempt) {
@@ -267,6 +279,28 @@
   }
 }
 
+void RequestFlow::RepeatPostMortems(absl::Time now, Actions* actions) {
+  std::set<TargetId> asked;
+  std::vector<PostMortem> overdue;
+  for (PostMortem& it : post_mortems_) {
+    if (it.until > now) {
+      continue;
+    }
+    overdue.push_back(it);
+    it.until = now + config_.post_mortem;
+    if (asked.insert(it.target).second) {
+      actions->push_back(PollTarget{it.target});
+    }
+  }
+  post_mortems_.erase(
+      std::remove_if(post_mortems_.begin(), post_mortems_.end(),
+                     [now](const PostMortem& it) { return it.give_up <= now; }),
+      post_mortems_.end());
+  for (const PostMortem& it : overdue) {
+    GoOnAfter(now, it, false, actions);
+  }
+}
+
 void RequestFlow::TellDeath(absl::Time now,
                             const PostMortem& post_mortem,
                             Actions* actions) {
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -168,16 +168,7 @@
       WakeOne(now, r, actions);
     }
   }
-  std::vector<PostMortem> overdue;
-  const auto is_due = [now](const PostMortem& it) { return it.until <= now; };
-  std::copy_if(post_mortems_.begin(), post_mortems_.end(),
-               std::back_inserter(overdue), is_due);
-  post_mortems_.erase(
-      std::remove_if(post_mortems_.begin(), post_mortems_.end(), is_due),
-      post_mortems_.end());
-  for (const PostMortem& it : overdue) {
-    ResolvePostMortem(now, it, false, actions);
-  }
+  RepeatPostMortems(now, actions);
   RepeatDeathNotices(now, actions);
   RepeatCancels(now, actions);
   if (now >= next_heartbeat_) {
--- a/packages/core/src/request/flow_screen.cc
+++ b/packages/core/src/request/flow_screen.cc
@@ -162,8 +162,9 @@
                                      ActiveRequest* r,
                                      Actions* actions) {
   // A home out of reach or replaced may have let one run: only a first one may
-  // go.
-  if (r->screen_clean) {
+  // go. When all that answered are new, a silent one may be all that knows.
+  const bool known = r->screen_vouched || r->screen_passed_over == 0;
+  if (r->screen_clean && known) {
     r->screened = true;
     return;
   }
--- a/tests/core/request_flow_screen_test.cc
+++ b/tests/core/request_flow_screen_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -52,6 +53,29 @@
     reply.deaths = deaths;
     flow.OnScreenReply(now, {home, Incarnation(7)}, reply, &actions);
   }
+  void AnswerYoung(const InstanceId& home) {
+    ScreenReply reply;
+    reply.request = RequestId("r");
+    reply.fingerprint = kContent;
+    reply.young = true;
+    flow.OnScreenReply(now, {home, Incarnation(7)}, reply, &actions);
+  }
+  // The ends told to homes since this was last called.
+  std::vector<ScreenEnd> Ended() const {
+    std::vector<ScreenEnd> ended;
+    for (const Action& it : actions) {
+      const auto* send = std::get_if<SendPeer>(&it);
+      if (send && std::holds_alternative<ScreenEnded>(send->payload)) {
+        ended.push_back(std::get<ScreenEnded>(send->payload).end);
+      }
+    }
+    return ended;
+  }
+  std::ptrdiff_t Polls() const {
+    return std::count_if(actions.begin(), actions.end(), [](const Action& it) {
+      return std::holds_alternative<PollTarget>(it);
+    });
+  }
   void PassProbeWait() {
     now += FlowConfig().probe_wait;
     flow.OnTick(now, &actions);
@@ -107,6 +131,63 @@
   CHECK(it.AskedForAdmission());
 }
 
+TEST_CASE("new homes don't answer for a silent one") {
+  Screening it;
+  it.Asked();
+  it.AnswerYoung(it.Home(1));
+  it.AnswerYoung(it.Home(2));
+  it.AnswerYoung(it.Home(3));
+  it.PassProbeWait();
+  CHECK_FALSE(it.AskedForAdmission());
+  SECTION("but for one that is gone") {
+    Screening other;
+    other.Asked();
+    other.flow.OnPeerUnreachable(other.now, other.Home(0), &other.actions);
+    other.AnswerYoung(other.Home(1));
+    other.AnswerYoung(other.Home(2));
+    other.AnswerYoung(other.Home(3));
+    CHECK(other.AskedForAdmission());
+  }
+}
+
+TEST_CASE("a run whose target never answers again stays open at the homes") {
+  Screening it;
+  it.Asked();
+  it.Answer(it.Home(0), ScreenVerdict::kRun, 0);
+  it.Answer(it.Home(1), ScreenVerdict::kRun, 0);
+  it.Reply(it.TakeAsk(), AdmitDecision::kGranted);
+  const StartAttempt start = *it.Last<StartAttempt>();
+  it.Fail(start, AttemptFailure::kSilent);
+  it.Take();
+  it.now += FlowConfig().post_mortem;
+  it.flow.OnTick(it.now, &it.actions);
+  CHECK(it.Ended().empty());
+  CHECK(it.Asked().size() == 2);  // it is tried again meanwhile
+  TargetReport report;
+  SECTION("until the same boot answers, which died not") {
+    report.boot = BootId("boot");
+    it.flow.OnTargetReport(it.now, kFirst, report, &it.actions);
+    CHECK(it.Ended() == std::vector(2, ScreenEnd::kReleased));
+  }
+  SECTION("until another boot answers, and it is told as a death") {
+    report.boot = BootId("restarted");
+    it.flow.OnTargetReport(it.now, kFirst, report, &it.actions);
+    const auto ended = it.Ended();
+    CHECK(std::count(ended.begin(), ended.end(), ScreenEnd::kDied) >= 2);
+  }
+  SECTION("and is asked again until the limit") {
+    it.now += FlowConfig().post_mortem;
+    it.flow.OnTick(it.now, &it.actions);
+    CHECK(it.Polls() == 1);
+    it.now += FlowConfig().post_mortem_limit;
+    it.flow.OnTick(it.now, &it.actions);
+    it.Take();
+    it.now += FlowConfig().post_mortem;
+    it.flow.OnTick(it.now, &it.actions);
+    CHECK(it.Polls() == 0);
+  }
+}
+
 TEST_CASE("a home that answers late is released with the others") {
   Screening it;
   it.Asked();
