Owner: what a former owner granted leaves the queue of the next

Ruled out: two handovers; the second is passed over. Change: adopting takes it out of the queue; its next ask is answered as granted.

--- a/packages/core/src/owner/target_owner.cc
+++ b/packages/core/src/owner/target_owner.cc
@@ -81,6 +81,8 @@
   if (held <= Tokens(0)) {
     return;
   }
+  // What runs by a former owner's word need not wait for this one's.
+  queue_.Remove(key);
   Charge charge;
   charge.key = key;
   charge.length = ClassOfPrompt(held);
--- a/tests/core/owner_table_test.cc
+++ b/tests/core/owner_table_test.cc
@@ -177,6 +177,23 @@
   CHECK(next.Admit("d", 4000).decision == AdmitDecision::kQueued);
 }
 
+TEST_CASE("what a former owner granted leaves the queue of the next") {
+  OwnerBench bench;
+  bench.Open(TargetState::kWarm);
+  bench.Admit("a", 90000);
+  REQUIRE(bench.Admit("b", 40000).decision == AdmitDecision::kQueued);
+  OwnerHandover handover;
+  handover.target = TargetId("e1");
+  handover.boot = BootId("b1");
+  handover.entries = {{OwnerBench::Peer("r1"), RequestId("b"), AttemptNumber(1),
+                       Tokens(40000)}};
+  bench.table->OnHandover(bench.now, OwnerBench::Peer("former"), handover);
+  bench.Settle("a");
+  bench.Pass(absl::Seconds(1));
+  CHECK(bench.Sent<AdmitReady>().empty());
+  CHECK(bench.Admit("b", 40000).decision == AdmitDecision::kGranted);
+}
+
 TEST_CASE("an owner that slept does not vouch for its ledger") {
   OwnerBench bench;
   bench.fleet.ranking = {InstanceId("next")};
