Relay: a stream is continued however late it breaks and however often; its log says why not

Ruled out: the retry budget (the lines now name it), the route's sends. Change: the wait counts from the break; whether a stream can go on is told by what the client has had, not by the last target's answer. A refusal's line now says why nothing more was tried, among how many targets it chose and the soonest first event; an attempt that was not run, or answered an error, has a line. Tests first: "continued again when its continuation fails too" (two ways), "breaks late": all three cut before, whole after.

--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -74,6 +74,9 @@
   std::optional<Placed> placed;
   // Where nothing was placed: when a place will be free, from now.
   absl::Duration retry_after;
+  // The soonest first event that any engine could have given; infinite where
+  // none was asked.
+  absl::Duration soonest = absl::InfiniteDuration();
 };
 
 // What serving a prompt of that size well is worth, in units of a short one.
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -300,6 +300,7 @@
   // Then the time counts with its helpers.
   const bool may_have_help =
       engine != nullptr && ReadTime(*engine, shape.prompt) >= kMinHelpedRead;
+  PlacementResult result;
   size_t index = 0;
   for (const Candidate& candidate : candidates) {
     ++index;
@@ -310,6 +311,9 @@
     Weighed one = engine != nullptr
                       ? WeighEngine(shape, *engine, candidate, worth, now)
                       : WeighPlain(candidate);
+    if (engine != nullptr) {
+      result.soonest = std::min(result.soonest, one.first_event);
+    }
     if (engine != nullptr && !may_have_help &&
         one.first_event > patience * kUsablePatience) {
       soonest = std::min(soonest, one.first_event - patience * kUsablePatience);
@@ -324,7 +328,6 @@
     one.cost += kTieCost * (turn - std::floor(turn));
     weighed.push_back(one);
   }
-  PlacementResult result;
   if (weighed.empty()) {
     result.retry_after = std::max(kMinRetry, soonest);
     return result;
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -59,7 +59,20 @@
   void EndWork();
   // After a failed attempt: another target, or the end.
   void TryAgainOrEnd(dispatch::Refusal refusal);
-  bool MayTryAgain(absl::Time now);
+  // Why no further target is tried.
+  enum class NotAgain {
+    kMayTry,
+    kMayHaveRun,
+    kAnswerBegun,
+    kSendsUsed,
+    kNoTime,
+    kBudgetSpent,
+  };
+  static absl::string_view NameOf(NotAgain reason);
+  NotAgain WhyNotAgain(absl::Time now) const;
+  // As above, and takes a send of the shared budget; remembers the reason.
+  bool TakeFurtherSend(absl::Time now);
+  void LogFailedAttempt(absl::string_view how, int status, bool sent);
   bool HasTimeToTry(absl::Time now) const;
   void NoteHelperAtFault(const std::string& address);
   void PassStreamEvents();
@@ -82,6 +95,9 @@
   ServiceId service_id_;
   Fingerprint content_;
   absl::Time started_;
+  // Since when its client waits for a first event: its arrival, or the break of
+  // a stream that had begun.
+  absl::Time waits_since_;
   absl::Time deadline_;
   net::Alarm deadline_alarm_;
   net::Alarm overdue_alarm_;
@@ -89,6 +105,10 @@
   std::vector<TargetId> tried_;
   int sends_ = 0;
   int connect_failures_ = 0;
+  NotAgain not_again_ = NotAgain::kMayTry;
+  // What the last placing chose among.
+  size_t placed_among_ = 0;
+  absl::Duration soonest_ = absl::InfiniteDuration();
   // Some target may have begun to run the request.
   bool may_have_run_ = false;
   TargetId target_;
@@ -105,6 +125,10 @@
   std::string buffered_;
   StreamFramer framer_;
   bool answer_begun_ = false;
+  // What the client has had so far is a stream.
+  bool stream_begun_ = false;
+  // The present target has given events of it.
+  bool gave_events_ = false;
   bool ended_ = false;
 };
 
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -48,6 +48,7 @@
     : state_(state),
       client_(std::move(client)),
       started_(BootNow()),
+      waits_since_(started_),
       deadline_(absl::InfiniteFuture()),
       deadline_alarm_(state.loop),
       overdue_alarm_(state.loop) {}
@@ -107,11 +108,13 @@
     return;
   }
   const auto candidates = Candidates(now);
+  placed_among_ = candidates.size();
   if (candidates.empty()) {
     Refuse(Refusal::kNoTarget, absl::Milliseconds(500));
     return;
   }
   const auto result = PlaceAmong(candidates, now);
+  soonest_ = result.soonest;
   if (!result.placed) {
     Refuse(Refusal::kOverloaded,
            result.retry_after * (1 + state_.Random() / 2));
@@ -144,8 +147,8 @@
   shape.prompt = facts_.prompt;
   shape.aim = route_->aim;
   shape.gap_aim = route_->gap_aim;
-  shape.waited = now - started_;
-  shape.left = deadline_ - started_;
+  shape.waited = now - waits_since_;
+  shape.left = deadline_ - waits_since_;
   const dispatch::EngineModel* engine =
       service_ != nullptr && service_->engine && is_stream() &&
               state_.mode == dispatch::PlacementMode::kPredicted
@@ -162,7 +165,8 @@
   state_.health[target_].NoteFailure(now);
   state_.health[target_].NoteFirstEvent(predicted_, now - sent_at_);
   // What waits there may run, although nothing has come of it.
-  if (!dispatch::MayRunAgain(route_->repeat) || !MayTryAgain(now)) {
+  if (!dispatch::MayRunAgain(route_->repeat) ||
+      WhyNotAgain(now) != NotAgain::kMayTry) {
     return;
   }
   tried_.push_back(target_);
@@ -270,6 +274,7 @@
   sent_at_ = now;
   ++sends_;
   use_ = AnswerUse::kNone;
+  gave_events_ = false;
   not_run_ = false;
   buffered_.clear();
   (void)framer_.TakeRest();
@@ -297,22 +302,53 @@
   return deadline_ - now > kMinTimeToTry;
 }
 
-bool Relay::MayTryAgain(absl::Time now) {
+absl::string_view Relay::NameOf(NotAgain reason) {
+  switch (reason) {
+    case NotAgain::kMayTry:
+      return "";
+    case NotAgain::kMayHaveRun:
+      return "may_have_run";
+    case NotAgain::kAnswerBegun:
+      return "answer_begun";
+    case NotAgain::kSendsUsed:
+      return "sends_used";
+    case NotAgain::kNoTime:
+      return "no_time";
+    case NotAgain::kBudgetSpent:
+      return "budget_spent";
+  }
+  return "";
+}
+
+Relay::NotAgain Relay::WhyNotAgain(absl::Time now) const {
   if (may_have_run_ && !dispatch::MayRunAgain(route_->repeat)) {
-    return false;
+    return NotAgain::kMayHaveRun;
   }
-  if (answer_begun_ &&
-      (use_ != AnswerUse::kStream || framer_.last_id().empty())) {
-    return false;
+  if (answer_begun_ && (!stream_begun_ || framer_.last_id().empty())) {
+    return NotAgain::kAnswerBegun;
+  }
+  if (sends_ >= route_->max_attempts) {
+    return NotAgain::kSendsUsed;
   }
-  return sends_ < route_->max_attempts && HasTimeToTry(now);
+  return HasTimeToTry(now) ? NotAgain::kMayTry : NotAgain::kNoTime;
+}
+
+bool Relay::TakeFurtherSend(absl::Time now) {
+  not_again_ = WhyNotAgain(now);
+  if (not_again_ == NotAgain::kMayTry &&
+      !state_.RetryBudgetOf(service_id_).Take(now, state_.instances)) {
+    not_again_ = NotAgain::kBudgetSpent;
+  }
+  return not_again_ == NotAgain::kMayTry;
 }
 
 void Relay::TryAgainOrEnd(Refusal refusal) {
   const absl::Time now = BootNow();
   tried_.push_back(target_);
-  if (MayTryAgain(now) &&
-      state_.RetryBudgetOf(service_id_).Take(now, state_.instances)) {
+  if (gave_events_) {
+    waits_since_ = now;
+  }
+  if (TakeFurtherSend(now)) {
     TryPlace();
     return;
   }
@@ -332,6 +368,14 @@
        {"status", static_cast<int64_t>(status)},
        {"may_have_run", may_have_run_},
        {"sends", static_cast<int64_t>(sends_)},
+       {"not_again", NameOf(not_again_)},
+       {"targets", static_cast<int64_t>(placed_among_)},
+       {"soonest_ms", soonest_ == absl::InfiniteDuration()
+                          ? -1
+                          : absl::ToInt64Milliseconds(soonest_)},
+       {"left_ms", route_ == nullptr
+                       ? -1
+                       : absl::ToInt64Milliseconds(deadline_ - BootNow())},
        {"config_age_ms",
         absl::ToInt64Milliseconds(BootNow() - state_.view.confirmed_at())},
        {"cut", answer_begun_}},
@@ -367,8 +411,10 @@
   state_.log.Write(EventLog::Level::kUsual, "ended",
                    {{"request", facts_.id.text()},
                     {"outcome", outcome},
+                    {"target_status", static_cast<int64_t>(answer_.status)},
                     {"target", target_.text()},
                     {"sends", static_cast<int64_t>(sends_)},
+                    {"not_again", NameOf(not_again_)},
                     {"took_ms", absl::ToInt64Milliseconds(now - started_)}},
                    now);
 }
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -95,6 +95,7 @@
     return;
   }
   NoteFirstEvent();
+  gave_events_ = true;
   BeginAnswerOnce();
   client_->SendBody(events);
 }
@@ -139,6 +140,7 @@
     return;
   }
   answer_begun_ = true;
+  stream_begun_ = use_ == AnswerUse::kStream;
   client_->BeginAnswer(answer_);
 }
 
@@ -152,20 +154,22 @@
   connection_.reset();
   state_.metrics.CountAttempt(not_run_ ? "not_run" : "answered");
   if (not_run_) {
+    LogFailedAttempt("not_run", answer_.status, true);
     state_.health[target_].NoteFailure(now);
     TryAgainOrEnd(Refusal::kTargetBusy);
     return;
   }
   may_have_run_ = true;
   if (use_ == AnswerUse::kDrop) {
+    LogFailedAttempt("unusable", answer_.status, true);
     state_.health[target_].NoteFailure(now);
     TryAgainOrEnd(Refusal::kTargetFailed);
     return;
   }
   if (answer_.status >= kServerError) {
+    LogFailedAttempt("server_error", answer_.status, true);
     state_.health[target_].NoteFailure(now);
-    if (!answer_begun_ && MayTryAgain(now) &&
-        state_.RetryBudgetOf(service_id_).Take(now, state_.instances)) {
+    if (!answer_begun_ && TakeFurtherSend(now)) {
       tried_.push_back(target_);
       TryPlace();
       return;
@@ -199,13 +203,7 @@
     connection_.reset();
   }
   state_.metrics.CountAttempt(net::NameOf(failure));
-  state_.log.Write(EventLog::Level::kImportant, "attempt_failed",
-                   {{"request", facts_.id.text()},
-                    {"target", target_.text()},
-                    {"how", net::NameOf(failure)},
-                    {"after_ms", absl::ToInt64Milliseconds(now - sent_at_)},
-                    {"sent", sent}},
-                   now);
+  LogFailedAttempt(net::NameOf(failure), 0, sent);
   if (!sent) {
     --sends_;
     ++connect_failures_;
@@ -228,6 +226,18 @@
   TryAgainOrEnd(Refusal::kTargetFailed);
 }
 
+void Relay::LogFailedAttempt(absl::string_view how, int status, bool sent) {
+  const absl::Time now = BootNow();
+  state_.log.Write(EventLog::Level::kImportant, "attempt_failed",
+                   {{"request", facts_.id.text()},
+                    {"target", target_.text()},
+                    {"how", how},
+                    {"status", static_cast<int64_t>(status)},
+                    {"after_ms", absl::ToInt64Milliseconds(now - sent_at_)},
+                    {"sent", sent}},
+                   now);
+}
+
 void Relay::OnClientProgress() {
   if (connection_ && client_->pending_bytes() <= kMaxUnsent / 2) {
     connection_->HoldReading(false);
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -308,6 +308,63 @@
   CHECK(fleet.requests().size() == 2);
 }
 
+TEST_CASE("a stream is continued again when its continuation fails too") {
+  std::atomic<int> runs{0};
+  std::string second_answer;
+  SECTION("because its target's answer can't be read") {
+    second_answer = "nonsense\r\n";
+  }
+  SECTION("because its target doesn't run it") {
+    second_answer = "HTTP/1.1 503 X\r\nX-Not-Executed: busy\r\n";
+  }
+  Fleet fleet(3, [&](FakeConnection& connection, const std::string& request) {
+    switch (runs++) {
+      case 0:
+        connection.Write(StreamHead(request) + Chunk(Event(1)) +
+                         "not a chunk\r\n");
+        connection.AwaitClose();
+        return;
+      case 1:
+        connection.Write(second_answer + EchoId(request) +
+                         "Content-Length: 0\r\n\r\n");
+        return;
+      default:
+        connection.Write(StreamHead(request) + Chunk(Event(2)) + "0\r\n\r\n");
+    }
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/quick/x", "id1", "k1"));
+  CHECK_THAT(answer,
+             Catch::EndsWith(Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n"));
+  REQUIRE(fleet.requests().size() == 3);
+  CHECK(HeaderOf(fleet.requests()[2], "Last-Event-Id") == "1");
+}
+
+TEST_CASE("a stream that breaks late is continued as one that breaks early") {
+  // Longer than a caller of this route waits for a first event.
+  constexpr absl::Duration kLate = absl::Milliseconds(2200);
+  std::atomic<int> runs{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    connection.Write(StreamHead(request));
+    if (runs++ == 0) {
+      connection.Write(Chunk(Event(1)));
+      absl::SleepFor(kLate);
+      connection.Write("not a chunk\r\n");
+      connection.AwaitClose();
+      return;
+    }
+    connection.Write(Chunk(Event(2)) + "0\r\n\r\n");
+  });
+  RunningFront front(testing::LoopbackSettings(fleet.store()));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/quick/x", "id1", "k1"));
+  CHECK_THAT(answer,
+             Catch::EndsWith(Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n"));
+}
+
 TEST_CASE("a client that leaves takes its request from the target") {
   absl::Notification left;
   Fleet fleet(1, [&](FakeConnection& connection, const std::string&) {
--- a/tests/front/running_front.cc
+++ b/tests/front/running_front.cc
@@ -16,13 +16,14 @@
 
 std::string Route(const std::string& prefix,
                   const std::string& kind,
-                  int max_attempts) {
-  return absl::StrCat(R"({"name":"r)", prefix,
-                      R"(","host":"a.example","prefix":")", prefix,
-                      R"(","kind":")", kind,
-                      R"(","timeout_ms":20000,"target_latency_ms":1000,)",
-                      R"("gap_aim_ms":1000,"resumable":true,"service":"llm",)",
-                      R"("max_attempts":)", max_attempts, "}");
+                  int max_attempts,
+                  int aim_ms = 1000) {
+  return absl::StrCat(
+      R"({"name":"r)", prefix, R"(","host":"a.example","prefix":")", prefix,
+      R"(","kind":")", kind, R"(","timeout_ms":20000,"target_latency_ms":)",
+      aim_ms, R"(,"gap_aim_ms":)", aim_ms,
+      R"(,"resumable":true,"service":"llm",)", R"("max_attempts":)",
+      max_attempts, "}");
 }
 
 }  // namespace
@@ -87,7 +88,10 @@
   return absl::StrCat(
       R"({"version":)", version, R"(,"routes":[)", Route("/safe/", "safe", 2),
       ",", Route("/once/", "unsafe", 1), ",", Route("/stream/", "streaming", 2),
-      R"(],"services":[{"name":"llm","max_conns":100}],)",
+      ",", Route("/quick/", "streaming", 3, 100),
+      R"(],"services":[{"name":"llm","max_conns":100,"engine":)",
+      R"({"slots":16,"kv_tokens":405000,"step_ms":1.31,"per_seq_ms":0.001,)",
+      R"("read_per_s":154000,"chunk":2048,"stride":34}}],)",
       R"("tenants":[{"name":"club","api_keys":["k1"],"priority":1}]})");
 }
 
--- a/tests/front/running_front.h
+++ b/tests/front/running_front.h
@@ -40,8 +40,10 @@
   std::thread thread_;
 };
 
-// A configuration with one service "llm", routes /safe/, /once/ and /stream/ on
-// host "a.example", and one key "k1" of account "club".
+// A configuration with one service "llm" of engines, routes /safe/, /once/,
+// /stream/ and /quick/ on host "a.example", and one key "k1" of account
+// "club". /quick/ allows three sends of a stream, /once/ one, the others two;
+// its callers wait a tenth as long.
 std::string SampleConfig(int version);
 // A target's entry of that service.
 std::string ServerEntry(const std::string& address, const std::string& state);
