umbertrail logs: merged logs, a request's path and why it failed

Purpose: on-call engineers have only logs; going from a request's id to its cause took a search by hand. Change: package logbook reads lines of instances (also with a recorder's time before them), orders them though clocks step, and names the cause of each failed request in a sentence from its lines and from what its instance learnt meanwhile; lines left out are counted beside the verdict.

--- a/packages/cli/src/command_line.cc
+++ b/packages/cli/src/command_line.cc
@@ -32,6 +32,8 @@
              [--time-limit=SECONDS] [--max-open=N] [--alone=N] [--seed=N]
              [--allow-remote] [--report=FILE] [--compare=FILE] [--plot=FILE]
              [--ca=FILE] [--json]
+  umbertrail logs LOG... [--request=ID | --failed] [--target=ID]
+             [--since=SECONDS] [--json]
   umbertrail key hash --salt=TEXT --key-file=FILE [--json]
   umbertrail --help
   umbertrail --version
@@ -43,6 +45,8 @@
   explain         Tells what happened to a request, and why.
   send            Sends one prompt or service call and streams the answer.
   load            Sends a bounded load of mixed lengths at fixed arrival times.
+  logs            Merges the logs of instances in files and prints them, or what
+                  they tell of one request or of all that failed.
   key hash        Prints what a manifest stores of an account's key.
 
 ADMIN is IP:PORT of an instance's admin listener, ADDRESS of its callers' one.
@@ -74,6 +78,10 @@
   --report=FILE         Writes the report as JSON.
   --compare=FILE        Compares with an earlier report.
   --plot=FILE           Writes an SVG of time to first token by length class.
+  --request=ID          Prints this request's path and why it ended so.
+  --failed              Names each failed request and why it failed.
+  --target=ID           Prints only lines that name this target.
+  --since=SECONDS       From this time on, in the seconds that are printed.
   --json                Writes JSON instead of text.
 
 Exit status: 0 done, 1 faults or disagreements found or requests failed,
@@ -227,6 +235,20 @@
   return in.Finish(out);
 }
 
+Result<Command> ReadLogs(Reader in) {
+  LogsCommand out;
+  out.files = in.List("LOG");
+  out.request = in.Text("--request");
+  out.failed = in.Flag("--failed");
+  out.target = in.Text("--target");
+  const std::string since = in.Text("--since");
+  if (!since.empty() && !absl::SimpleAtod(since, &out.since_s)) {
+    in.Fail("--since is a number of seconds");
+  }
+  out.json = in.Flag("--json");
+  return in.Finish(out);
+}
+
 Result<Command> ReadArguments(const Arguments& args) {
   Reader in(args);
   const bool json = in.Flag("--json");
@@ -247,6 +269,9 @@
     return Command(
         KeyHashCommand{in.Text("--salt"), in.Text("--key-file"), json});
   }
+  if (in.Flag("logs")) {
+    return ReadLogs(in);
+  }
   return in.Flag("load") ? ReadLoad(in) : ReadSend(in);
 }
 
--- a/packages/cli/src/command_line.h
+++ b/packages/cli/src/command_line.h
@@ -2,6 +2,7 @@
 #define UMBERTRAIL_CLI_SRC_COMMAND_LINE_H_
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -86,6 +87,19 @@
   bool json = false;
 };
 
+// Reads logs that instances wrote, without asking any.
+struct LogsCommand {
+  std::vector<std::string> files;
+  // One request's story, or those of all that failed; else the lines.
+  std::string request;
+  bool failed = false;
+  // Lines that name this target; all when empty.
+  std::string target;
+  // From this time on, in the seconds that are printed.
+  double since_s = -std::numeric_limits<double>::infinity();
+  bool json = false;
+};
+
 // Prints a text and ends: help or version.
 struct ShowText {
   std::string text;
@@ -98,6 +112,7 @@
                              SendCommand,
                              LoadCommand,
                              KeyHashCommand,
+                             LogsCommand,
                              ShowText>;
 
 // Reads the arguments. The fault says what is wrong and how a command is used.
--- a/packages/cli/src/commands.h
+++ b/packages/cli/src/commands.h
@@ -13,6 +13,7 @@
 ExitStatus CheckManifest(const ManifestCheckCommand& command, Console& console);
 ExitStatus DiffManifest(const ManifestDiffCommand& command, Console& console);
 ExitStatus HashKey(const KeyHashCommand& command, Console& console);
+ExitStatus ReadInstanceLogs(const LogsCommand& command, Console& console);
 ExitStatus ShowStatus(const StatusCommand& command,
                       const AdminClient& client,
                       Console& console);
--- /dev/null
+++ b/packages/cli/src/logs_command.cc
@@ -0,0 +1,136 @@
+#include <fstream>
+#include <ostream>
+
+#include "absl/strings/str_format.h"
+#include "commands.h"
+#include "umbertrail/logbook/logbook.h"
+#include "umbertrail/logbook/story.h"
+
+namespace umbertrail::cli {
+namespace {
+
+using logbook::Logbook;
+using logbook::LogLine;
+using logbook::Story;
+
+// None when a file can't be read; the fault is on the console then.
+std::optional<Logbook> ReadLogs(const std::vector<std::string>& files,
+                                Console& console) {
+  Logbook book;
+  for (const std::string& path : files) {
+    std::ifstream file(path);
+    if (!file) {
+      console.err << "umbertrail: cannot read " << path << "\n";
+      return std::nullopt;
+    }
+    book.Read(file);
+  }
+  book.Sort();
+  if (book.lines().empty()) {
+    console.err << "umbertrail: no log lines in these files\n";
+    return std::nullopt;
+  }
+  if (book.unreadable() > 0) {
+    console.err << "umbertrail: " << book.unreadable()
+                << " lines are no log lines and were passed over\n";
+  }
+  return book;
+}
+
+void PrintLine(const LogLine& line, bool json, std::ostream& out) {
+  if (json) {
+    out << logbook::WriteJson(line) << "\n";
+    return;
+  }
+  out << absl::StrFormat("%14.3f  %-20s  %-18s%s\n", line.at_s, line.instance,
+                         line.event, logbook::WriteFields(line));
+}
+
+void PrintLines(const LogsCommand& command,
+                const Logbook& book,
+                std::ostream& out) {
+  for (const LogLine& line : book.lines()) {
+    const bool concerned =
+        command.target.empty() || line.Text("target") == command.target;
+    if (concerned && line.at_s >= command.since_s) {
+      PrintLine(line, command.json, out);
+    }
+  }
+}
+
+std::string VerdictOf(const Story& story) {
+  std::string verdict =
+      absl::StrFormat("%s: %s", logbook::NameOf(story.end),
+                      !story.cause.empty() ? story.cause
+                      : story.failed       ? "the logs don't tell why"
+                                           : "its caller got the whole answer");
+  if (story.left_out > 0) {
+    absl::StrAppendFormat(&verdict, " (%d lines left out at that time)",
+                          story.left_out);
+  }
+  return verdict;
+}
+
+ExitStatus PrintStory(const LogsCommand& command,
+                      const logbook::Storyteller& teller,
+                      Console& console) {
+  const std::optional<Story> story = teller.Tell(command.request);
+  if (!story.has_value()) {
+    console.err << "umbertrail: no line names request " << command.request
+                << "\n";
+    return ExitStatus::kFound;
+  }
+  for (const LogLine& line : story->steps) {
+    PrintLine(line, command.json, console.out);
+  }
+  if (command.json) {
+    return ExitStatus::kOk;
+  }
+  if (!story->around.empty()) {
+    console.out << "around it, on the same instance\n";
+  }
+  for (const LogLine& line : story->around) {
+    PrintLine(line, command.json, console.out);
+  }
+  console.out << VerdictOf(*story) << "\n";
+  return ExitStatus::kOk;
+}
+
+ExitStatus PrintFailures(const LogsCommand& command,
+                         const logbook::Storyteller& teller,
+                         Console& console) {
+  int failed = 0;
+  int explained = 0;
+  for (const Story& story : teller.TellFailures()) {
+    const double at_s = story.steps.front().at_s;
+    if (at_s < command.since_s) {
+      continue;
+    }
+    ++failed;
+    explained += story.cause.empty() ? 0 : 1;
+    console.out << absl::StrFormat("%14.3f  %-20s  %-18s  %s\n", at_s,
+                                   story.instance, story.request,
+                                   VerdictOf(story));
+  }
+  console.out << absl::StrFormat(
+      "%d requests failed; the logs tell why of %d\n", failed, explained);
+  return explained == failed ? ExitStatus::kOk : ExitStatus::kFound;
+}
+
+}  // namespace
+
+ExitStatus ReadInstanceLogs(const LogsCommand& command, Console& console) {
+  const std::optional<Logbook> book = ReadLogs(command.files, console);
+  if (!book.has_value()) {
+    return ExitStatus::kUsage;
+  }
+  if (command.request.empty() && !command.failed) {
+    PrintLines(command, *book, console.out);
+    return ExitStatus::kOk;
+  }
+  const logbook::Storyteller teller(&*book);
+  return command.failed ? PrintFailures(command, teller, console)
+                        : PrintStory(command, teller, console);
+}
+
+}  // namespace umbertrail::cli
--- a/packages/cli/src/run.cc
+++ b/packages/cli/src/run.cc
@@ -34,6 +34,9 @@
   ExitStatus operator()(const KeyHashCommand& command) const {
     return HashKey(command, console);
   }
+  ExitStatus operator()(const LogsCommand& command) const {
+    return ReadInstanceLogs(command, console);
+  }
   ExitStatus operator()(const ShowText& command) const {
     console.out << command.text;
     return ExitStatus::kOk;
--- /dev/null
+++ b/packages/logbook/src/story.cc
@@ -0,0 +1,151 @@
+#include "umbertrail/logbook/story.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cause.h"
+
+namespace umbertrail::logbook {
+namespace {
+
+// What an instance notes this long before a request's first line, and after its
+// last, may have to do with its end.
+constexpr double kBeforeSeconds = 5;
+constexpr double kAfterSeconds = 3;
+constexpr int64_t kServerError = 500;
+
+// Events that concern all requests of an instance.
+bool ConcernsAll(absl::string_view event) {
+  static const std::set<absl::string_view> kEvents = {
+      "start",           "stop_begun",         "stop_over",
+      "readiness",       "store_lost",         "store_regained",
+      "config_in_force", "data_centre_closed", "data_centre_reopened",
+      "reload",          "reload_refused",     "store_history_lost"};
+  return kEvents.count(event) != 0;
+}
+
+StoryEnd EndOf(const LogLine* ended) {
+  if (ended == nullptr) {
+    return StoryEnd::kUnknown;
+  }
+  const absl::string_view outcome = ended->Text("outcome");
+  for (const StoryEnd it : {StoryEnd::kAnswered, StoryEnd::kRefused,
+                            StoryEnd::kCut, StoryEnd::kClientGone}) {
+    if (outcome == NameOf(it)) {
+      return it;
+    }
+  }
+  return StoryEnd::kUnknown;
+}
+
+}  // namespace
+
+absl::string_view NameOf(StoryEnd end) {
+  switch (end) {
+    case StoryEnd::kAnswered:
+      return "answered";
+    case StoryEnd::kRefused:
+      return "refused";
+    case StoryEnd::kCut:
+      return "cut";
+    case StoryEnd::kClientGone:
+      return "client_gone";
+    case StoryEnd::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+Storyteller::Storyteller(const Logbook* book) : book_(book) {
+  const std::vector<LogLine>& lines = book->lines();
+  for (size_t i = 0; i < lines.size(); ++i) {
+    const absl::string_view request = lines[i].Text("request");
+    const bool after_gap = lines[i].Number("lines_left_out").has_value();
+    if (request.empty() || after_gap) {
+      notes_[lines[i].instance].push_back(i);
+    }
+    if (request.empty()) {
+      continue;
+    }
+    std::vector<size_t>& steps = steps_[std::string(request)];
+    if (steps.empty()) {
+      order_.emplace_back(request);
+    }
+    steps.push_back(i);
+  }
+}
+
+std::optional<Story> Storyteller::Tell(absl::string_view request) const {
+  const auto found = steps_.find(request);
+  if (found == steps_.end()) {
+    return std::nullopt;
+  }
+  return TellOf(found->first, found->second);
+}
+
+std::vector<Story> Storyteller::TellFailures() const {
+  std::vector<Story> failures;
+  for (const std::string& request : order_) {
+    Story story = TellOf(request, steps_.find(request)->second);
+    if (story.failed) {
+      failures.push_back(std::move(story));
+    }
+  }
+  return failures;
+}
+
+Story Storyteller::TellOf(const std::string& request,
+                          const std::vector<size_t>& places) const {
+  Story story;
+  story.request = request;
+  const LogLine* ended = nullptr;
+  for (const size_t i : places) {
+    const LogLine& line = book_->lines()[i];
+    story.steps.push_back(line);
+    ended = line.event == "ended" ? &line : ended;
+  }
+  story.instance = story.steps.front().instance;
+  story.end = EndOf(ended);
+  const int64_t status =
+      ended == nullptr ? 0 : ended->Number("target_status").value_or(0);
+  story.failed = story.end != StoryEnd::kAnswered || status >= kServerError;
+  if (story.failed) {
+    AddAround(&story);
+    story.cause = CauseOf(story);
+  }
+  return story;
+}
+
+void Storyteller::AddAround(Story* story) const {
+  const double from = story->steps.front().at_s - kBeforeSeconds;
+  const double until = story->steps.back().at_s + kAfterSeconds;
+  std::set<absl::string_view> targets;
+  for (const LogLine& it : story->steps) {
+    targets.insert(it.Text("target"));
+  }
+  targets.erase("");
+  const auto notes = notes_.find(story->instance);
+  if (notes == notes_.end()) {
+    return;
+  }
+  const std::vector<LogLine>& lines = book_->lines();
+  const auto begin =
+      std::lower_bound(notes->second.begin(), notes->second.end(), from,
+                       [&](size_t i, double at) { return lines[i].at_s < at; });
+  for (auto it = begin; it != notes->second.end(); ++it) {
+    const LogLine& line = lines[*it];
+    if (line.at_s > until && story->end != StoryEnd::kUnknown) {
+      break;
+    }
+    story->left_out += line.Number("lines_left_out").value_or(0);
+    if (!line.Text("request").empty()) {
+      continue;
+    }
+    if (ConcernsAll(line.event) || targets.count(line.Text("target")) != 0) {
+      story->around.push_back(line);
+    }
+  }
+}
+
+}  // namespace umbertrail::logbook
