--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test demo format format-check lint measure soak capacity
+.PHONY: deps build test demo format format-check lint measure soak fault-soak capacity
 
 deps:
 	@tools/install_deps.sh
@@ -27,9 +27,13 @@
 	@tools/lint.sh $(BUILD)
 
 SEEDS ?= 10000
+SEED ?= 1
 soak: build
 	@$(BUILD)/tests/soak --seeds=$(SEEDS) --jobs=$(JOBS)
 
+fault-soak: build
+	@$(BUILD)/tests/fault_soak $(BUILD)/bin/umbertraild --seconds=60 --seed=$(SEED)
+
 capacity: build
 	@tools/capacity/run.sh $(BUILD)
 
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -19,6 +19,8 @@
 constexpr absl::Duration kReadyAge = absl::Milliseconds(4200);
 // New connections still come until the platform has asked twice.
 constexpr absl::Duration kStillFound = absl::Milliseconds(2600);
+// A client that has just connected sends its request within this time.
+constexpr absl::Duration kFirstRequest = absl::Milliseconds(250);
 // Left of the grace for the answers to leave the machine.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
 constexpr absl::Duration kStopCheck = absl::Milliseconds(50);
@@ -218,6 +220,8 @@
   const absl::Duration since = BootNow() - stop_began_;
   if (since >= kStillFound) {
     callers_.StopListening();
+  }
+  if (since >= kStillFound + kFirstRequest) {
     callers_.CloseIdle();
     // Also the last bytes of answers must have been read by their clients.
     if (callers_.connections() == 0) {
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -120,6 +120,7 @@
 
   // False when the address can't be bound; the text says why.
   std::optional<std::string> Listen(const Endpoint& endpoint);
+  // Takes what has connected already, and nobody after that.
   void StopListening();
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   const ServerLimits& limits() const { return limits_; }
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -365,6 +365,19 @@
 }
 
 void HttpServer::StopListening() {
+  if (!acceptor_.is_open()) {
+    return;
+  }
+  // Clients whose connections the kernel has made already are served.
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    Tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      std::make_shared<ServerConnection>(*this, std::move(socket))->Start();
+    }
+  }
   boost::system::error_code ignored;
   acceptor_.close(ignored);
 }
--- a/tests/net/raw_client.cc
+++ b/tests/net/raw_client.cc
@@ -43,6 +43,11 @@
   socket_ = -1;
 }
 
+void RawClient::SetReadLimit(absl::Duration limit) {
+  const timeval time = absl::ToTimeval(limit);
+  ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof(time));
+}
+
 void RawClient::Send(const std::string& bytes) {
   size_t sent = 0;
   while (sent < bytes.size()) {
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "absl/time/time.h"
+
 namespace umbertrail::testing {
 
 // A connection that writes and reads bytes as they are, blocking.
@@ -14,6 +16,9 @@
   RawClient(const RawClient&) = delete;
   RawClient& operator=(const RawClient&) = delete;
 
+  bool connected() const { return socket_ >= 0; }
+  // A read that waits longer than this ends like a closed connection.
+  void SetReadLimit(absl::Duration limit);
   void Send(const std::string& bytes);
   // Reads until `mark` has come, or the other end has closed; all that was
   // read since the last call.
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <memory>
 #include <thread>
 
 #include "absl/synchronization/notification.h"
@@ -250,6 +251,22 @@
   CHECK(handled == 2);
 }
 
+TEST_CASE("a connection made before listening ends is served") {
+  Running running(Echo);
+  std::unique_ptr<RawClient> client;
+  absl::Notification stopped;
+  boost::asio::post(running.loop(), [&] {
+    // The server can't take it before this function is over.
+    client = std::make_unique<RawClient>(running.address());
+    client->Send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+    running.server().StopListening();
+    stopped.Notify();
+  });
+  stopped.WaitForNotification();
+  CHECK_THAT(client->ReadAnswer(), Catch::EndsWith("/late"));
+  CHECK_FALSE(RawClient(running.address()).connected());
+}
+
 TEST_CASE("while draining each answer asks its client to leave") {
   Running running(Echo);
   running.server().StartDraining();
