--- a/packages/logbook/src/cause.cc
+++ b/packages/logbook/src/cause.cc
@@ -68,13 +68,13 @@
     {"budget_spent", "the shared budget of further sends was spent"},
 }};
 
-template <size_t n>
-std::string PhraseOf(const std::array<Phrase, n>& phrases,
+template <size_t N>
+std::string PhraseOf(const std::array<Phrase, N>& phrases,
                      absl::string_view name) {
   const auto* found =
       std::find_if(phrases.begin(), phrases.end(),
                    [name](const Phrase& it) { return it.name == name; });
-  return std::string(found == phrases.end() ? name : found->text);
+  return std::string{found == phrases.end() ? name : found->text};
 }
 
 // The last failed attempt, and why no other followed.
--- a/packages/logbook/src/story.cc
+++ b/packages/logbook/src/story.cc
@@ -17,12 +17,12 @@
 
 // Events that concern all requests of an instance.
 bool ConcernsAll(absl::string_view event) {
-  static const std::set<absl::string_view> kEvents = {
+  static const std::set<absl::string_view> events = {
       "start",           "stop_begun",         "stop_over",
       "readiness",       "store_lost",         "store_regained",
       "config_in_force", "data_centre_closed", "data_centre_reopened",
       "reload",          "reload_refused",     "store_history_lost"};
-  return kEvents.count(event) != 0;
+  return events.count(event) != 0;
 }
 
 StoryEnd EndOf(const LogLine* ended) {
@@ -68,7 +68,7 @@
     if (request.empty()) {
       continue;
     }
-    std::vector<size_t>& steps = steps_[std::string(request)];
+    std::vector<size_t>& steps = steps_[std::string{request}];
     if (steps.empty()) {
       order_.emplace_back(request);
     }
