--- a/packages/cli/src/logs_command.cc
+++ b/packages/cli/src/logs_command.cc
@@ -84,6 +84,7 @@
     PrintLine(line, command.json, console.out);
   }
   if (command.json) {
+    console.out << logbook::WriteJson(*story) << "\n";
     return ExitStatus::kOk;
   }
   if (!story->around.empty()) {
@@ -108,12 +109,18 @@
     }
     ++failed;
     explained += story.cause.empty() ? 0 : 1;
+    if (command.json) {
+      console.out << logbook::WriteJson(story) << "\n";
+      continue;
+    }
     console.out << absl::StrFormat("%14.3f  %-20s  %-18s  %s\n", at_s,
                                    story.instance, story.request,
                                    VerdictOf(story));
   }
-  console.out << absl::StrFormat(
-      "%d requests failed; the logs tell why of %d\n", failed, explained);
+  if (!command.json) {
+    console.out << absl::StrFormat(
+        "%d requests failed; the logs tell why of %d\n", failed, explained);
+  }
   return explained == failed ? ExitStatus::kOk : ExitStatus::kFound;
 }
 
--- a/packages/logbook/include/umbertrail/logbook/story.h
+++ b/packages/logbook/include/umbertrail/logbook/story.h
@@ -42,6 +42,9 @@
   int64_t left_out = 0;
 };
 
+// The verdict without its lines, as one JSON object.
+std::string WriteJson(const Story& story);
+
 // Reads stories out of a sorted logbook, which must outlive it.
 class Storyteller {
  public:
--- a/packages/logbook/src/story.cc
+++ b/packages/logbook/src/story.cc
@@ -1,6 +1,7 @@
 #include "umbertrail/logbook/story.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
@@ -57,6 +58,19 @@
   return "unknown";
 }
 
+std::string WriteJson(const Story& story) {
+  nlohmann::ordered_json json;
+  json["at_s"] = story.steps.front().at_s;
+  json["instance"] = story.instance;
+  json["request"] = story.request;
+  json["end"] = std::string{NameOf(story.end)};
+  json["failed"] = story.failed;
+  json["cause"] = story.cause;
+  json["lines_left_out"] = story.left_out;
+  return json.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
 Storyteller::Storyteller(const Logbook* book) : book_(book) {
   const std::vector<LogLine>& lines = book->lines();
   for (size_t i = 0; i < lines.size(); ++i) {
--- a/tests/cli/logs_command_test.cc
+++ b/tests/cli/logs_command_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -45,6 +46,15 @@
              EndsWith("2 requests failed; the logs tell why of 2\n"));
 }
 
+TEST_CASE("logs writes verdicts as JSON, one object a line") {
+  const Ran all = RunLogs({kRecorded, "--failed", "--json"});
+  CHECK(std::count(all.out.begin(), all.out.end(), '\n') == 6);
+  CHECK_THAT(all.out,
+             Contains(R"("request":"0775b5d4060da968","end":"refused")"));
+  const Ran one = RunLogs({kRecorded, "--request=a562a7d375285de7", "--json"});
+  CHECK_THAT(one.out, Contains(R"("end":"cut","failed":true,"cause":"i-6916)"));
+}
+
 TEST_CASE("logs that end too soon leave a cause open, and say so") {
   const TempFile file(
       R"({"t_ms":1,"instance":"a","event":"sent","request":"r","target":"t"})");
