--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -12,6 +12,7 @@
 #include "absl/time/clock.h"
 #include "front/running_front.h"
 #include "front/stand_in_store.h"
+#include "front/target_answers.h"
 #include "net/raw_client.h"
 
 // A whole instance between a client, scripted targets and a stand-in of the
@@ -20,43 +21,17 @@
 namespace umbertrail::front {
 namespace {
 
+using testing::Chunk;
+using testing::EchoId;
 using testing::FakeConnection;
 using testing::FakeServer;
+using testing::HeaderOf;
 using testing::PlatformRequest;
 using testing::RawClient;
 using testing::RunningFront;
 using testing::StandInStore;
-
-// The value of a header in a request or answer, or "none".
-std::string HeaderOf(const std::string& message, const std::string& name) {
-  const std::string mark = absl::StrCat("\r\n", name, ": ");
-  const size_t at = message.find(mark);
-  if (at == std::string::npos) {
-    return "none";
-  }
-  const std::string rest = message.substr(at + mark.size());
-  return rest.substr(0, rest.find('\r'));
-}
-
-std::string EchoId(const std::string& request) {
-  return absl::StrCat("X-Attempt-Id: ", HeaderOf(request, "X-Attempt-Id"),
-                      "\r\nX-Response-Seal: seal\r\n");
-}
-
-std::string WholeAnswer(const std::string& request, const std::string& body) {
-  return absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
-                      "Content-Length: ", body.size(), "\r\n\r\n", body);
-}
-
-std::string StreamHead(const std::string& request) {
-  return absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
-                      "Content-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n");
-}
-
-std::string Chunk(const std::string& bytes) {
-  return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
-}
+using testing::StreamHead;
+using testing::WholeAnswer;
 
 std::string Event(int id) {
   return absl::StrCat("id: ", id, "\ndata: e", id, "\n\n");
--- a/tests/front_soak/stand_in_target.cc
+++ b/tests/front_soak/stand_in_target.cc
@@ -6,34 +6,21 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "front/target_answers.h"
 
 namespace umbertrail::soak {
 namespace {
 
+using testing::Chunk;
+using testing::EchoId;
 using testing::FakeConnection;
+using testing::HeaderOf;
+using testing::StreamHead;
+using testing::WholeAnswer;
 
 constexpr absl::Duration kWork = absl::Milliseconds(10);
 constexpr absl::Duration kEventInterval = absl::Milliseconds(40);
 
-std::string HeaderOf(const std::string& request, const std::string& name) {
-  const std::string mark = absl::StrCat("\r\n", name, ": ");
-  const size_t at = request.find(mark);
-  if (at == std::string::npos) {
-    return "";
-  }
-  const std::string rest = request.substr(at + mark.size());
-  return rest.substr(0, rest.find('\r'));
-}
-
-std::string Echo(const std::string& request) {
-  return absl::StrCat("X-Attempt-Id: ", HeaderOf(request, "X-Attempt-Id"),
-                      "\r\nX-Response-Seal: seal\r\n");
-}
-
-std::string Chunk(const std::string& bytes) {
-  return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
-}
-
 }  // namespace
 
 StandInTarget::StandInTarget(std::string id, Judge* judge)
@@ -67,7 +54,7 @@
       return;
     }
     if (HeaderOf(request, "X-Expect-Instance") != id_) {
-      connection.Write(absl::StrCat("HTTP/1.1 421 X\r\n", Echo(request),
+      connection.Write(absl::StrCat("HTTP/1.1 421 X\r\n", EchoId(request),
                                     "X-Not-Executed: instance\r\n"
                                     "Content-Length: 0\r\n\r\n"));
       continue;
@@ -93,10 +80,8 @@
                            FakeConnection& connection) {
   absl::SleepFor(kWork);
   AwaitVoice();
-  const std::string body = BodyFor(HeaderOf(request, "X-Attempt-Id"));
-  connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", Echo(request),
-                                "Content-Length: ", body.size(), "\r\n\r\n",
-                                body));
+  connection.Write(
+      WholeAnswer(request, BodyFor(HeaderOf(request, "X-Attempt-Id"))));
 }
 
 void StandInTarget::Stream(const std::string& request,
@@ -107,9 +92,7 @@
     first = done + 1;
   }
   AwaitVoice();
-  connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", Echo(request),
-                                "Content-Type: text/event-stream\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n"));
+  connection.Write(StreamHead(request));
   for (int i = first; i <= kEvents; ++i) {
     absl::SleepFor(kEventInterval);
     AwaitVoice();
