Owner: a grant that is asked for again says again that the boot is to be read

Found by reading: the first reply made the charge a witness of itself, so a repeated ask (its reply lost or late) got the grant without the reading.

--- a/packages/core/include/umbertrail/core/owner/ledger.h
+++ b/packages/core/include/umbertrail/core/owner/ledger.h
@@ -65,6 +65,8 @@
   bool suspect = false;
   // A suspension was asked for.
   bool suspending = false;
+  // Its holder was asked to read the target's boot first.
+  bool read_boot = false;
   // Begins on a boot that was known then, so a restart since breaks it. Holds
   // from a grant window after the grant.
   bool witness = false;
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -119,6 +119,7 @@
   // When it was first asked or told of anything, which is soon after its start.
   absl::Time born_ = absl::InfiniteFuture();
   absl::Time swept_ = absl::InfinitePast();
+  // When each instance was last heard.
   std::map<InstanceId, absl::Time> heard_at_;
   absl::Time retold_ = absl::InfinitePast();
   // Where the next round of telling again begins.
--- a/packages/core/src/owner/target_owner_admission.cc
+++ b/packages/core/src/owner/target_owner_admission.cc
@@ -162,8 +162,9 @@
   reply.decision = AdmitDecision::kGranted;
   reply.boot = budget_.boot();
   const bool has_witness = ledger_.HasWitnessBeside(now, charge->key);
-  reply.read_boot = NeedsBootRead(*charge, has_witness);
-  charge->witness = charge->witness || has_witness || reply.read_boot;
+  charge->read_boot = charge->read_boot || NeedsBootRead(*charge, has_witness);
+  charge->witness = charge->witness || has_witness || charge->read_boot;
+  reply.read_boot = charge->read_boot;
   reply.first_token =
       std::max(charge->first_token_at - now, absl::ZeroDuration());
   return reply;
--- a/tests/core/owner_table_test.cc
+++ b/tests/core/owner_table_test.cc
@@ -68,6 +68,8 @@
   CHECK_FALSE(bench.Admit("a", 6000).read_boot);
   bench.Alive("a");
   CHECK(bench.Admit("b", 6000).read_boot);
+  // Asked again, since the reply may be lost.
+  CHECK(bench.Admit("b", 6000).read_boot);
   bench.Alive("b");
   CHECK(bench.Admit("c", 6000).read_boot);
   bench.Alive("c");
