--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -16,8 +16,8 @@
 constexpr absl::Duration kSweepInterval = absl::Minutes(1);
 // An instance heard within this time is likely to be there.
 constexpr absl::Duration kHeardOfLate = absl::Seconds(30);
-// Contents whose deaths are told again in one round; the next round goes on with
-// others. Two deaths to six homes each are about 20 messages a second.
+// Contents whose deaths are told again in one round; the next round goes on
+// with others. Two deaths to six homes each are about 20 messages a second.
 constexpr std::size_t kRetoldAtOnce = 8;
 
 template <typename Runs>
