Product's HTTP server: a stop lets answers that are being written end

Cause: cpp-httplib's stop() ends a chunked answer between two of its parts, and Shutdown called it as soon as core was done, so a stream could lose its [DONE]. Ruled out: core was idle, the last part was waiting. Change: Shutdown waits up to 2 s for requests that are being served.

--- a/packages/daemon/src/http_server.cc
+++ b/packages/daemon/src/http_server.cc
@@ -25,6 +25,8 @@
 
 // How long and how much is read and dropped after a refusal, so that the caller
 // reads it before its connection is reset.
+// A stop waits this long for answers that are being written.
+constexpr absl::Duration kAnswersEnd = absl::Seconds(2);
 constexpr absl::Duration kLinger = absl::Milliseconds(500);
 constexpr size_t kLingerBytes = size_t{4} << 20;
 
@@ -221,6 +223,11 @@
 
 void HttpServer::Shutdown() {
   ending_ = true;
+  // The library's stop() ends an answer between two of its parts.
+  const absl::Time until = MonotonicNow() + kAnswersEnd;
+  while (serving_ > 0 && MonotonicNow() < until) {
+    absl::SleepFor(absl::Milliseconds(1));
+  }
   stop();
   if (thread_.joinable()) {
     thread_.join();
@@ -277,11 +284,13 @@
   while (ok && !closed && !t_close_after_answer &&
          (stream.has_buffered() || AwaitRequest(*transport, sock))) {
     stream.BeginRequest();
+    ++serving_;
     ok = process_request(stream, /*close_connection=*/ending_, closed,
                          [&](httplib::Request& req) {
                            stream.EndHead();
                            IgnoreContentNegotiation(&req);
                          });
+    --serving_;
   }
   t_current_socket = -1;
   if (t_close_after_answer) {
--- a/packages/daemon/src/http_server.h
+++ b/packages/daemon/src/http_server.h
@@ -57,6 +57,8 @@
   const SslContext tls_;
   std::string address_;
   std::atomic<bool> ending_{false};
+  // Requests whose answers are not written yet.
+  std::atomic<int> serving_{0};
   std::thread thread_;
 };
 
