Screening asks the fleet who was heard, and finds its entries and homes in one place

Read over once more: the home kept a table of its own of who was heard when, written at every message, though membership keeps it already; three functions made entries alike; the numbers of homes stood in two files each. FleetView tells who was heard since; EntryFor, kHomes and kDeathHomes stand once. The soak's judge had two loops for one question. Tests keep their assertions; the one that played a message sets what the fleet heard.

--- a/packages/core/include/umbertrail/core/fleet/fleet.h
+++ b/packages/core/include/umbertrail/core/fleet/fleet.h
@@ -38,6 +38,7 @@
   const std::vector<TargetInfo>& targets() const override;
   const TargetInfo* FindTarget(const TargetId& id) const override;
   const std::vector<InstanceInfo>& instances() const override;
+  std::vector<InstanceInfo> HeardSince(absl::Time since) const override;
   std::vector<InstanceId> Ranking(const TargetId& target) const override;
   OwnerClaim ClaimOf(const TargetId& target, absl::Time now) const override;
   std::optional<Reason> Barred(const TargetId& target,
--- a/packages/core/include/umbertrail/core/fleet/membership.h
+++ b/packages/core/include/umbertrail/core/fleet/membership.h
@@ -70,6 +70,9 @@
   // The incarnation heard last at this address.
   std::optional<InstanceRef> IncarnationOf(const InstanceId& id) const;
 
+  // As FleetView says.
+  std::vector<InstanceInfo> HeardSince(absl::Time since) const;
+
   // When the instance list was last read, at its newest version.
   absl::Time instances_read_at() const { return instances_read_at_; }
   bool instances_known() const { return instances_known_; }
--- a/packages/core/include/umbertrail/core/fleet_view.h
+++ b/packages/core/include/umbertrail/core/fleet_view.h
@@ -33,6 +33,10 @@
   // Instances of the list read last, in id order.
   virtual const std::vector<InstanceInfo>& instances() const = 0;
 
+  // Other instances that have spoken to this one since then, listed or not, in
+  // id order. Their data centres are not told. Cost: linear in the peers known.
+  virtual std::vector<InstanceInfo> HeardSince(absl::Time since) const = 0;
+
   // The instances that may own `target`, best first: live ones before those
   // known to be leaving or seen dead.
   virtual std::vector<InstanceId> Ranking(const TargetId& target) const = 0;
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -22,6 +22,11 @@
 class ScreenHome {
  public:
   static constexpr uint32_t kDeathLimit = 2;
+  // Homes of one fingerprint; both must agree, so that one of them replaced
+  // forgets no open run.
+  static constexpr std::size_t kHomes = 2;
+  // Instances that remember a death, so that homes replaced forget nothing.
+  static constexpr std::size_t kDeathHomes = 3;
   // Deaths are told again for as long as this, so an older home knows them.
   static constexpr absl::Duration kYoung = absl::Seconds(30);
   // Deaths are told again to the other homes this often, since a message to one
@@ -46,9 +51,6 @@
   void OnEnded(absl::Time now,
                const InstanceRef& from,
                const ScreenEnded& ended);
-  // A message came from this instance. Deaths are told again to some of those
-  // heard of late too: the list of instances may be old.
-  void OnPeerHeard(absl::Time now, const InstanceId& peer);
   // Another home's count, learnt with its answer to a request here. It may be
   // of the same deaths, so the greater count holds, not the sum.
   void OnHeard(absl::Time now, const ScreenReply& reply);
@@ -58,7 +60,8 @@
   // An incarnation is over; its open runs count as deaths.
   void OnHolderGone(const InstanceRef& holder);
 
-  // Tells deaths again, a bounded number of contents each kRetell, and forgets
+  // Tells deaths again, a bounded number of contents each kRetell, also to some
+  // who were heard of late, since the list of instances may be old. Forgets
   // what is older than kMemory. Cost: linear, at most once a minute.
   void OnTick(absl::Time now, Actions* actions);
 
@@ -101,6 +104,9 @@
   std::set<InstanceId> HomesByAnyView(absl::Time now,
                                       Fingerprint fingerprint) const;
   static uint32_t CountOf(const Entry& entry);
+  // The entry of a content, made where there is none; null when there are too
+  // many.
+  Entry* EntryFor(Fingerprint fingerprint);
   // How many open runs and deaths it allows in sum.
   uint32_t LimitFor(Fingerprint fingerprint) const;
   ScreenVerdict Judge(const Entry& entry, uint32_t limit) const;
@@ -119,8 +125,6 @@
   // When it was first asked or told of anything, which is soon after its start.
   absl::Time born_ = absl::InfiniteFuture();
   absl::Time swept_ = absl::InfinitePast();
-  // When each instance was last heard.
-  std::map<InstanceId, absl::Time> heard_at_;
   absl::Time retold_ = absl::InfinitePast();
   // Where the next round of telling again begins.
   Fingerprint retell_from_;
--- a/packages/core/src/fleet/fleet.cc
+++ b/packages/core/src/fleet/fleet.cc
@@ -62,6 +62,10 @@
   return membership_.instances();
 }
 
+std::vector<InstanceInfo> Fleet::HeardSince(absl::Time since) const {
+  return membership_.HeardSince(since);
+}
+
 std::vector<InstanceId> Fleet::Ranking(const TargetId& target) const {
   return ownership_.Ranking(target);
 }
--- a/packages/core/src/fleet/membership.cc
+++ b/packages/core/src/fleet/membership.cc
@@ -258,6 +258,16 @@
   return InstanceRef{id, *it->second.incarnation};
 }
 
+std::vector<InstanceInfo> Membership::HeardSince(absl::Time since) const {
+  std::vector<InstanceInfo> heard;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.heard_at >= since && id != self_) {
+      heard.push_back({id, DataCentreId(), false});
+    }
+  }
+  return heard;
+}
+
 absl::Duration Membership::UnlistedFor(absl::Time now) const {
   absl::Duration longest = absl::ZeroDuration();
   for (const auto& [id, peer] : peers_) {
--- a/packages/core/src/node_dispatch.cc
+++ b/packages/core/src/node_dispatch.cc
@@ -20,7 +20,6 @@
 
 void Node::Impl::On(absl::Time now, PeerReceived event, Actions* actions) {
   owners_.OnPeerHeard(now, event.envelope.from);
-  screen_home_.OnPeerHeard(now, event.envelope.from.id);
   const std::optional<InstanceRef> gone =
       fleet_.OnPeer(now, event.envelope, actions);
   if (gone.has_value()) {
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr absl::Duration kRetryLater = absl::Seconds(2);
-// Homes that remember a death, so that one of them replaced forgets nothing.
-constexpr std::size_t kDeathHomes = 3;
 // A death is told again a few times, longer than most partitions last.
 constexpr absl::Duration kNoticeInterval = absl::Seconds(3);
 constexpr int kNoticeRepeats = 10;
@@ -346,7 +344,7 @@
     // The homes by now: also those that did not know of the run.
     for (const InstanceId& home :
          RankInstances(it.ended.fingerprint.value(), parts_.fleet->instances(),
-                       kDeathHomes)) {
+                       ScreenHome::kDeathHomes)) {
       actions->push_back(SendPeer{home, it.ended});
     }
     actions->push_back(SendPeer{self_.id, it.ended});
--- a/packages/core/src/request/flow_screen.cc
+++ b/packages/core/src/request/flow_screen.cc
@@ -11,9 +11,8 @@
 namespace {
 
 constexpr absl::Duration kScreenWait = absl::Milliseconds(200);
-// Both must agree, so that one of them replaced forgets no open run.
-constexpr std::size_t kScreenHomes = 2;
-// With further ones in place of those that are new, silent or gone.
+// The homes of a content, with further ones in place of those that are new,
+// silent or gone.
 constexpr std::size_t kMostScreenHomes = 4;
 
 }  // namespace
@@ -35,8 +34,9 @@
   r->screen_attempt = r->attempt;
   r->screen_clean = r->deaths_seen == 0 && known == 0;
   r->screen_vouched = false;
-  const auto homes = RankInstances(r->spec.fingerprint.value(),
-                                   parts_.fleet->instances(), kScreenHomes);
+  const auto homes =
+      RankInstances(r->spec.fingerprint.value(), parts_.fleet->instances(),
+                    ScreenHome::kHomes);
   for (const InstanceId& home : homes) {
     AskScreen(now, r, home, actions);
   }
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -9,10 +9,6 @@
 namespace umbertrail::core {
 namespace {
 
-// Instances that remember a death, so that homes replaced forget nothing.
-constexpr std::size_t kDeathHomes = 3;
-// Homes of one fingerprint.
-constexpr std::size_t kHomes = 2;
 constexpr absl::Duration kSweepInterval = absl::Minutes(1);
 // An instance heard within this time is likely to be there.
 constexpr absl::Duration kHeardOfLate = absl::Seconds(30);
@@ -48,14 +44,11 @@
   if (mutations_->forget_deaths) {
     return reply;
   }
-  auto found = entries_.find(request.fingerprint);
-  if (found == entries_.end()) {
-    if (entries_.size() >= kMaxEntries) {
-      return reply;
-    }
-    found = entries_.emplace(request.fingerprint, Entry{}).first;
+  Entry* found = EntryFor(request.fingerprint);
+  if (found == nullptr) {
+    return reply;
   }
-  Entry& entry = found->second;
+  Entry& entry = *found;
   entry.touched = now;
   CloseRuns(request.fingerprint, &entry,
             [now](const Run& it) { return it.expires <= now; });
@@ -76,15 +69,14 @@
 void ScreenHome::OnEnded(absl::Time now,
                          const InstanceRef& from,
                          const ScreenEnded& ended) {
-  auto found = entries_.find(ended.fingerprint);
-  if (found == entries_.end()) {
-    // A death is remembered also by homes that did not grant the run.
-    if (ended.end != ScreenEnd::kDied || entries_.size() >= kMaxEntries) {
-      return;
-    }
-    found = entries_.emplace(ended.fingerprint, Entry{}).first;
+  // A death is remembered also by homes that did not grant the run.
+  const bool wanted =
+      ended.end == ScreenEnd::kDied || entries_.count(ended.fingerprint) != 0;
+  Entry* found = wanted ? EntryFor(ended.fingerprint) : nullptr;
+  if (found == nullptr) {
+    return;
   }
-  Entry& entry = found->second;
+  Entry& entry = *found;
   entry.touched = now;
   const auto run = FindRun(entry.runs, from, ended.request, ended.attempt);
   if (run != entry.runs.end()) {
@@ -114,14 +106,11 @@
   if (reply.deaths == 0 || mutations_->forget_deaths) {
     return;
   }
-  auto found = entries_.find(reply.fingerprint);
-  if (found == entries_.end()) {
-    if (entries_.size() >= kMaxEntries) {
-      return;
-    }
-    found = entries_.emplace(reply.fingerprint, Entry{}).first;
+  Entry* found = EntryFor(reply.fingerprint);
+  if (found == nullptr) {
+    return;
   }
-  Entry& entry = found->second;
+  Entry& entry = *found;
   entry.touched = now;
   entry.heard = std::max(entry.heard, std::min(reply.deaths, kDeathLimit));
   entry.proven = false;
@@ -176,22 +165,13 @@
                                                 Fingerprint fingerprint) const {
   const auto listed =
       RankInstances(fingerprint.value(), fleet_->instances(), kDeathHomes);
-  std::vector<InstanceInfo> heard;
-  for (const auto& [id, at] : heard_at_) {
-    if (now - at <= kHeardOfLate) {
-      heard.push_back({id, DataCentreId(), false});
-    }
-  }
-  const auto present = RankInstances(fingerprint.value(), heard, kDeathHomes);
+  const auto present = RankInstances(
+      fingerprint.value(), fleet_->HeardSince(now - kHeardOfLate), kDeathHomes);
   std::set<InstanceId> homes(listed.begin(), listed.end());
   homes.insert(present.begin(), present.end());
   return homes;
 }
 
-void ScreenHome::OnPeerHeard(absl::Time now, const InstanceId& peer) {
-  heard_at_[peer] = now;
-}
-
 void ScreenHome::OnHolderGone(const InstanceRef& holder) {
   for (auto& [fingerprint, entry] : entries_) {
     CloseRuns(fingerprint, &entry,
@@ -206,9 +186,6 @@
     return;
   }
   swept_ = now;
-  for (auto it = heard_at_.begin(); it != heard_at_.end();) {
-    it = now - it->second > kHeardOfLate ? heard_at_.erase(it) : std::next(it);
-  }
   for (auto it = entries_.begin(); it != entries_.end();) {
     const bool old = now - it->second.touched > kMemory;
     if (old) {
@@ -229,6 +206,17 @@
   return status;
 }
 
+ScreenHome::Entry* ScreenHome::EntryFor(Fingerprint fingerprint) {
+  const auto found = entries_.find(fingerprint);
+  if (found != entries_.end()) {
+    return &found->second;
+  }
+  if (entries_.size() >= kMaxEntries) {
+    return nullptr;
+  }
+  return &entries_[fingerprint];
+}
+
 uint32_t ScreenHome::LimitFor(Fingerprint fingerprint) const {
   const auto homes =
       RankInstances(fingerprint.value(), fleet_->instances(), kHomes);
--- a/tests/core/fake_fleet.h
+++ b/tests/core/fake_fleet.h
@@ -28,6 +28,9 @@
   const std::vector<InstanceInfo>& instances() const override {
     return instance_list;
   }
+  std::vector<InstanceInfo> HeardSince(absl::Time) const override {
+    return heard;
+  }
   std::vector<InstanceId> Ranking(const TargetId& target) const override {
     const auto it = owners.find(target);
     return it == owners.end() ? std::vector<InstanceId>() : it->second;
@@ -46,6 +49,7 @@
   manifest::Manifest declared;
   std::vector<TargetInfo> target_list;
   std::vector<InstanceInfo> instance_list;
+  std::vector<InstanceInfo> heard;
   std::map<TargetId, std::vector<InstanceId>> owners;
   std::set<TargetId> barred;
   OwnerClaim claim = OwnerClaim::kFull;
--- a/tests/core/orders_rollout_test.cc
+++ b/tests/core/orders_rollout_test.cc
@@ -30,6 +30,7 @@
   const std::vector<InstanceInfo>& instances() const override {
     return held_instances;
   }
+  std::vector<InstanceInfo> HeardSince(absl::Time) const override { return {}; }
   std::vector<InstanceId> Ranking(const TargetId&) const override { return {}; }
   OwnerClaim ClaimOf(const TargetId& target, absl::Time) const override {
     const auto it = held_claims.find(target);
--- a/tests/core/owner_fakes.h
+++ b/tests/core/owner_fakes.h
@@ -38,6 +38,7 @@
   const std::vector<InstanceInfo>& instances() const override {
     return instance_list;
   }
+  std::vector<InstanceInfo> HeardSince(absl::Time) const override { return {}; }
   std::vector<InstanceId> Ranking(const TargetId&) const override {
     return ranking;
   }
--- a/tests/core/request_screen_home_test.cc
+++ b/tests/core/request_screen_home_test.cc
@@ -142,7 +142,7 @@
   Actions actions;
   it.home.OnTick(kStart, &actions);
   const absl::Time later = kStart + ScreenHome::kRetell;
-  it.home.OnPeerHeard(later, InstanceId("10.0.0.8:7000"));
+  it.fleet.heard = {{InstanceId("10.0.0.8:7000"), DataCentreId("a")}};
   it.home.OnTick(later, &actions);
   REQUIRE(actions.size() == 1);
   CHECK(std::get<SendPeer>(actions.front()).to == InstanceId("10.0.0.8:7000"));
--- a/tests/front_soak/judge.cc
+++ b/tests/front_soak/judge.cc
@@ -1,5 +1,8 @@
 #include "judge.h"
 
+#include <algorithm>
+#include <array>
+
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -11,26 +14,13 @@
 // other work.
 constexpr absl::Duration kLateSlack = absl::Seconds(5);
 // Statuses that promise that the request never runs.
-constexpr int kNeverRan[] = {408, 421, 429, 503};
+constexpr std::array<int, 4> kNeverRan = {408, 421, 429, 503};
 // Statuses by which a caller is told that it may not ask this.
-constexpr int kDenied[] = {401, 403, 404};
+constexpr std::array<int, 3> kDenied = {401, 403, 404};
 
-bool IsOneOf(const int (&statuses)[4], int status) {
-  for (const int it : statuses) {
-    if (it == status) {
-      return true;
-    }
-  }
-  return false;
-}
-
-bool IsDenial(int status) {
-  for (const int it : kDenied) {
-    if (it == status) {
-      return true;
-    }
-  }
-  return false;
+template <size_t N>
+bool IsOneOf(const std::array<int, N>& statuses, int status) {
+  return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
 int StatusOf(const std::string& answer) {
@@ -161,7 +151,7 @@
 }
 
 void Judge::JudgeRefusal(const Asked& asked, int status) {
-  if (IsDenial(status)) {
+  if (IsOneOf(kDenied, status)) {
     ++counts_["denied"];
     return;
   }
--- a/tools/measure/static_fleet.h
+++ b/tools/measure/static_fleet.h
@@ -37,6 +37,9 @@
   const std::vector<core::InstanceInfo>& instances() const override {
     return instances_;
   }
+  std::vector<core::InstanceInfo> HeardSince(absl::Time) const override {
+    return {};
+  }
   std::vector<InstanceId> Ranking(const TargetId&) const override { return {}; }
   core::OwnerClaim ClaimOf(const TargetId&, absl::Time) const override {
     return core::OwnerClaim::kFull;
