--- a/packages/cli/src/command_line.cc
+++ b/packages/cli/src/command_line.cc
@@ -32,7 +32,7 @@
              [--time-limit=SECONDS] [--max-open=N] [--alone=N] [--seed=N]
              [--allow-remote] [--report=FILE] [--compare=FILE] [--plot=FILE]
              [--ca=FILE] [--json]
-  umbertrail logs LOG... [--request=ID | --failed] [--target=ID]
+  umbertrail logs LOG... [--request=ID | --failed | --losses] [--target=ID]
              [--since=SECONDS] [--json]
   umbertrail key hash --salt=TEXT --key-file=FILE [--json]
   umbertrail --help
@@ -80,6 +80,8 @@
   --plot=FILE           Writes an SVG of time to first token by length class.
   --request=ID          Prints this request's path and why it ended so.
   --failed              Names each failed request and why it failed.
+  --losses              Counts what was not served or late, by time, route and
+                        reason.
   --target=ID           Prints only lines that name this target.
   --since=SECONDS       From this time on, in the seconds that are printed.
   --json                Writes JSON instead of text.
@@ -240,6 +242,7 @@
   out.files = in.List("LOG");
   out.request = in.Text("--request");
   out.failed = in.Flag("--failed");
+  out.losses = in.Flag("--losses");
   out.target = in.Text("--target");
   const std::string since = in.Text("--since");
   if (!since.empty() && !absl::SimpleAtod(since, &out.since_s)) {
--- a/packages/cli/src/command_line.h
+++ b/packages/cli/src/command_line.h
@@ -93,6 +93,8 @@
   // One request's story, or those of all that failed; else the lines.
   std::string request;
   bool failed = false;
+  // A table of what was not served or late, by time, route and reason.
+  bool losses = false;
   // Lines that name this target; all when empty.
   std::string target;
   // From this time on, in the seconds that are printed.
--- a/packages/cli/src/logs_command.cc
+++ b/packages/cli/src/logs_command.cc
@@ -3,7 +3,9 @@
 
 #include "absl/strings/str_format.h"
 #include "commands.h"
+#include "text_table.h"
 #include "umbertrail/logbook/logbook.h"
+#include "umbertrail/logbook/losses.h"
 #include "umbertrail/logbook/story.h"
 
 namespace umbertrail::cli {
@@ -124,6 +126,39 @@
   return explained == failed ? ExitStatus::kOk : ExitStatus::kFound;
 }
 
+// Width of a row's span of time.
+constexpr double kLossSpanS = 2;
+
+ExitStatus PrintLosses(const LogsCommand& command,
+                       const Logbook& book,
+                       Console& console) {
+  TextTable table({"from second", "route", "reason", "requests"});
+  int all = 0;
+  for (const logbook::Loss& loss : logbook::TellLosses(book, kLossSpanS)) {
+    if (loss.from_s + kLossSpanS <= command.since_s) {
+      continue;
+    }
+    all += loss.requests;
+    if (command.json) {
+      LogLine line;
+      line.at_s = loss.from_s;
+      line.event = "loss";
+      line.fields = {{"route", loss.route},
+                     {"reason", loss.reason},
+                     {"requests", static_cast<int64_t>(loss.requests)}};
+      console.out << logbook::WriteJson(line) << "\n";
+    } else {
+      table.Add({absl::StrFormat("%.0f", loss.from_s), loss.route, loss.reason,
+                 absl::StrFormat("%d", loss.requests)});
+    }
+  }
+  if (!command.json) {
+    console.out << table.Text()
+                << absl::StrFormat("%d requests not served or late\n", all);
+  }
+  return ExitStatus::kOk;
+}
+
 }  // namespace
 
 ExitStatus ReadInstanceLogs(const LogsCommand& command, Console& console) {
@@ -131,6 +166,9 @@
   if (!book.has_value()) {
     return ExitStatus::kUsage;
   }
+  if (command.losses) {
+    return PrintLosses(command, *book, console);
+  }
   if (command.request.empty() && !command.failed) {
     PrintLines(command, *book, console.out);
     return ExitStatus::kOk;
--- a/packages/front/include/umbertrail/front/event_log.h
+++ b/packages/front/include/umbertrail/front/event_log.h
@@ -3,10 +3,10 @@
 
 #include <cstdint>
 #include <functional>
-#include <initializer_list>
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -26,6 +26,7 @@
  public:
   // Importance decides which lines a spent budget still lets through.
   enum class Level { kUsual, kImportant };
+  using Fields = std::vector<Field>;
 
   // Writes to descriptor `fd`, which is set not to block.
   EventLog(int fd, std::string instance);
@@ -37,7 +38,7 @@
 
   void Write(Level level,
              absl::string_view event,
-             std::initializer_list<Field> fields,
+             const Fields& fields,
              absl::Time now);
 
  private:
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -86,8 +86,12 @@
   void PassBuffered();
   void BeginAnswerOnce();
   void NoteFirstEvent();
+  // What an on-call engineer asks of a stream that was late.
+  void NoteEventPassed();
   void Refuse(dispatch::Refusal refusal, absl::Duration retry_after);
   void Finish(absl::string_view outcome);
+  // By which aims a request was late, if it was.
+  void AddPromptness(EventLog::Fields* fields) const;
   void OnDeadline();
   void LeaveTarget();
   bool is_stream() const;
@@ -111,6 +115,11 @@
 
   std::vector<TargetId> tried_;
   int sends_ = 0;
+  // Of a stream: its first event after the request came, and the longest time
+  // between two events passed on.
+  absl::Duration first_event_after_ = absl::InfiniteDuration();
+  absl::Duration longest_pause_ = absl::ZeroDuration();
+  absl::Time last_event_at_;
   int connect_failures_ = 0;
   NotAgain not_again_ = NotAgain::kMayTry;
   // What the last placing chose among.
--- a/packages/front/src/event_log.cc
+++ b/packages/front/src/event_log.cc
@@ -79,7 +79,7 @@
 
 void EventLog::Write(Level level,
                      absl::string_view event,
-                     std::initializer_list<Field> fields,
+                     const Fields& fields,
                      absl::Time now) {
   std::string line = absl::StrCat("{\"t_ms\":", absl::ToUnixMillis(absl::Now()),
                                   ",\"instance\":\"", instance_,
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -427,15 +427,38 @@
   if (route_ != nullptr) {
     state_.metrics.CountRequest(route_->repeat, outcome, now - started_);
   }
-  state_.log.Write(EventLog::Level::kUsual, "ended",
-                   {{"request", facts_.id.text()},
-                    {"outcome", outcome},
-                    {"target_status", static_cast<int64_t>(answer_.status)},
-                    {"target", target_.text()},
-                    {"sends", static_cast<int64_t>(sends_)},
-                    {"not_again", NameOf(not_again_)},
-                    {"took_ms", absl::ToInt64Milliseconds(now - started_)}},
-                   now);
+  EventLog::Fields fields = {
+      {"request", facts_.id.text()},
+      {"outcome", outcome},
+      {"target_status", static_cast<int64_t>(answer_.status)},
+      {"target", target_.text()},
+      {"sends", static_cast<int64_t>(sends_)},
+      {"not_again", NameOf(not_again_)},
+      {"took_ms", absl::ToInt64Milliseconds(now - started_)}};
+  AddPromptness(&fields);
+  state_.log.Write(EventLog::Level::kUsual, "ended", fields, now);
+}
+
+void Relay::AddPromptness(EventLog::Fields* fields) const {
+  if (route_ == nullptr) {
+    return;
+  }
+  fields->push_back({"route", absl::string_view(route_->name)});
+  fields->push_back({"aim_ms", absl::ToInt64Milliseconds(route_->aim)});
+  if (!is_stream()) {
+    return;
+  }
+  fields->push_back({"prompt", facts_.prompt.value()});
+  if (first_event_after_ < absl::InfiniteDuration()) {
+    fields->push_back(
+        {"first_event_ms", absl::ToInt64Milliseconds(first_event_after_)});
+    fields->push_back(
+        {"longest_pause_ms", absl::ToInt64Milliseconds(longest_pause_)});
+  }
+  if (route_->gap_aim < absl::InfiniteDuration()) {
+    fields->push_back(
+        {"pause_aim_ms", absl::ToInt64Milliseconds(route_->gap_aim)});
+  }
 }
 
 void Relay::LeaveTarget() {
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/string_view.h"
@@ -112,6 +113,7 @@
     return;
   }
   NoteFirstEvent();
+  NoteEventPassed();
   gave_events_ = true;
   BeginAnswerOnce();
   client_->SendBody(events);
@@ -146,6 +148,16 @@
                    now);
 }
 
+void Relay::NoteEventPassed() {
+  const absl::Time now = BootNow();
+  if (first_event_after_ == absl::InfiniteDuration()) {
+    first_event_after_ = now - started_;
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  }
+  last_event_at_ = now;
+}
+
 void Relay::PassBuffered() {
   BeginAnswerOnce();
   client_->SendBody(buffered_);
--- a/tests/cli/logs_command_test.cc
+++ b/tests/cli/logs_command_test.cc
@@ -46,6 +46,22 @@
              EndsWith("2 requests failed; the logs tell why of 2\n"));
 }
 
+TEST_CASE("logs counts losses by time, route and reason") {
+  const TempFile file(
+      R"({"t_ms":4100,"instance":"a","event":"refused","request":"r","why":"overloaded"}
+{"t_ms":4100,"instance":"a","event":"ended","request":"r","outcome":"refused","route":"ask"}
+{"t_ms":9000,"instance":"a","event":"ended","request":"q","outcome":"answered","target_status":200,"took_ms":900,"route":"ask","aim_ms":300,"sends":1}
+)");
+  const Ran ran = RunLogs({file.path(), "--losses"});
+  CHECK(ran.status == ExitStatus::kOk);
+  CHECK_THAT(ran.out, Contains("overloaded") && Contains("late_unexpected"));
+  CHECK_THAT(ran.out, EndsWith("2 requests not served or late\n"));
+  const Ran later = RunLogs({file.path(), "--losses", "--since=8"});
+  CHECK_THAT(later.out, EndsWith("1 requests not served or late\n"));
+  const Ran json = RunLogs({file.path(), "--losses", "--json"});
+  CHECK(std::count(json.out.begin(), json.out.end(), '\n') == 2);
+}
+
 TEST_CASE("logs writes verdicts as JSON, one object a line") {
   const Ran all = RunLogs({kRecorded, "--failed", "--json"});
   CHECK(std::count(all.out.begin(), all.out.end(), '\n') == 6);
