A target's leaving that a peer told is passed on with the next round, as deaths are

Each instance that heard of it told all its partners at once, the square of the fleet in messages for one departure, and checked what State checks again. State::NoteLeaving now says whether it was news; only the instance that heard it from the target tells at once. What a leaving target gets is unchanged.

Unit tests of the front run: all pass.

--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -80,8 +80,9 @@
                       absl::Duration actual);
   // A target can't be reached or has started anew.
   void NoteTargetDown(const TargetId& target, absl::Time now);
-  // That life of a target said that it leaves; it gets nothing new.
-  void NoteLeaving(const TargetId& target, int64_t born_ms, absl::Time now);
+  // That life of a target said that it leaves; it gets nothing new. True when
+  // that is news.
+  bool NoteLeaving(const TargetId& target, int64_t born_ms, absl::Time now);
   // A target wants nothing from this instance for so long; also in its next
   // life, as its words hold for the address that it answers at.
   void NoteWantsNothing(const TargetId& target,
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -190,10 +190,8 @@
   }
   for (const PeerDeparture& told : message.departures) {
     const TargetId target(told.target);
-    const dispatch::TargetEntry* entry = state_.view.Find(target);
-    if (entry != nullptr && state_.view.MayServe(*entry) &&
-        entry->born_ms <= told.born_ms) {
-      state_.NoteLeaving(target, told.born_ms, now);
+    if (state_.NoteLeaving(target, told.born_ms, now)) {
+      departures_.push_back({target, told.born_ms, now + kRumour});
     }
   }
   for (const PeerOutcome& outcome : message.outcomes) {
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -57,8 +57,8 @@
 
 void Relay::NoteTargetsWords(const adapter::AnswerFacts& facts) {
   const absl::Time now = BootNow();
-  if (facts.leaving) {
-    state_.NoteLeaving(target_, born_ms_, now);
+  if (facts.leaving && state_.NoteLeaving(target_, born_ms_, now)) {
+    state_.tell_leaving(target_, born_ms_);
   }
   if (!facts.strange_wait.empty()) {
     state_.log.Write(EventLog::Level::kImportant, "strange_wait",
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -176,19 +176,17 @@
   }
 }
 
-void State::NoteLeaving(const TargetId& target,
+bool State::NoteLeaving(const TargetId& target,
                         int64_t born_ms,
                         absl::Time now) {
   const dispatch::TargetEntry* entry = view.Find(target);
   if (entry == nullptr || !view.MayServe(*entry) || entry->born_ms > born_ms) {
-    return;
+    return false;
   }
   view.NoteLeaving(target, born_ms, now);
   log.Write(EventLog::Level::kImportant, "target_leaving",
             {{"target", target.text()}, {"born_ms", born_ms}}, now);
-  if (tell_leaving) {
-    tell_leaving(target, born_ms);
-  }
+  return true;
 }
 
 void State::NoteWantsNothing(const TargetId& target,
