Log and count retries charged to the shared budget

The logs named a retry only when the budget refused it, so an instance's spending could not be told from its lines, nor by how many it divides. Now each retry asked for has a line (granted, left, instances) and a counter by result. Both callers go through one function.

--- a/packages/dispatch/include/umbertrail/dispatch/budgets.h
+++ b/packages/dispatch/include/umbertrail/dispatch/budgets.h
@@ -35,6 +35,8 @@
   // Consumes one retry; false if the budget is exhausted. `instances` share the
   // allowance.
   bool Take(absl::Time now, int instances);
+  // Retries left; a fraction counts towards a later one.
+  double Remaining(absl::Time now, int instances);
 
  private:
   double ratio_;
--- a/packages/dispatch/src/budgets.cc
+++ b/packages/dispatch/src/budgets.cc
@@ -35,11 +35,15 @@
       requests_(window),
       retries_(window) {}
 
-bool RetryBudget::Take(absl::Time now, int instances) {
+double RetryBudget::Remaining(absl::Time now, int instances) {
   const double allowed =
       kUsedFraction * (ratio_ * requests_.Count(now) +
                        fleet_allowance_ / std::max(instances, 1));
-  if (retries_.Count(now) + 1 > allowed) {
+  return allowed - retries_.Count(now);
+}
+
+bool RetryBudget::Take(absl::Time now, int instances) {
+  if (Remaining(now, instances) < 1) {
     return false;
   }
   retries_.Add(now);
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -35,6 +35,8 @@
                     absl::Duration took);
   void CountRefusal(absl::string_view reason, bool may_have_run);
   void CountAttempt(absl::string_view result);
+  // Counts a retry asked of the shared budget.
+  void CountRetry(bool granted);
   // Records the time from a request's arrival to its stream's first event.
   void ObserveFirstEvent(Tokens prompt, absl::Duration after);
   void CountStoreCall(absl::string_view kind);
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -71,6 +71,11 @@
   // 0 if unlimited.
   double FleetRateOf(const ServiceId& service) const;
   dispatch::RetryBudget& RetryBudgetOf(const ServiceId& service);
+  // Charges a retry of `request` to the service's budget and logs it; false if
+  // the budget is exhausted.
+  bool TakeRetry(const ServiceId& service,
+                 const RequestId& request,
+                 absl::Time now);
   // Records a request's outcome, which is also reported to the target's homes.
   void RecordSuccess(const TargetId& target, absl::Time now);
   void RecordFailure(const TargetId& target, absl::Time now);
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -56,6 +56,12 @@
           .Name("umbertrail_attempts_total")
           .Help("Requests sent to targets, by how that ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& retries =
+      prometheus::BuildCounter()
+          .Name("umbertrail_retries_total")
+          .Help(
+              "Retries asked of the shared budget, by whether it had any left")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("umbertrail_store_calls_total")
@@ -118,6 +124,11 @@
       .Observe(absl::ToDoubleSeconds(after));
 }
 
+void Metrics::CountRetry(bool granted) {
+  families_->retries.Add({{"result", granted ? "granted" : "denied"}})
+      .Increment();
+}
+
 void Metrics::CountStoreCall(absl::string_view kind) {
   families_->store_calls.Add({{"kind", Copy(kind)}}).Increment();
 }
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -203,7 +203,7 @@
   if (!reply.result.decision ||
       reply.result.decision->reserve_per_helper > Tokens(0) ||
       !MayMoveToAnotherTarget(now) ||
-      !state_.RetryBudgetOf(service_id_).Take(now, state_.instances)) {
+      !state_.TakeRetry(service_id_, facts_.id, now)) {
     tried_targets_.pop_back();
     return;
   }
@@ -367,7 +367,7 @@
 bool Relay::AcquireRetry(absl::Time now) {
   retry_decision_ = CheckRetry(now);
   if (retry_decision_ == RetryDecision::kAllowed &&
-      !state_.RetryBudgetOf(service_id_).Take(now, state_.instances)) {
+      !state_.TakeRetry(service_id_, facts_.id, now)) {
     retry_decision_ = RetryDecision::kBudgetExhausted;
   }
   return retry_decision_ == RetryDecision::kAllowed;
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -154,6 +154,22 @@
       .first->second;
 }
 
+bool State::TakeRetry(const ServiceId& service,
+                      const RequestId& request,
+                      absl::Time now) {
+  dispatch::RetryBudget& budget = RetryBudgetOf(service);
+  const bool granted = budget.Take(now, instances);
+  metrics.CountRetry(granted);
+  log.Write(EventLog::Level::kNormal, "retry",
+            {{"request", request.text()},
+             {"service", service.text()},
+             {"granted", granted},
+             {"left", budget.Remaining(now, instances)},
+             {"instances", static_cast<int64_t>(instances)}},
+            now);
+  return granted;
+}
+
 void State::RecordSuccess(const TargetId& target, absl::Time now) {
   health[target].RecordSuccess(now);
   ++unreported_outcomes[target].successes;
--- a/tests/front/metrics_test.cc
+++ b/tests/front/metrics_test.cc
@@ -13,6 +13,8 @@
                        absl::Milliseconds(400));
   metrics.CountRefusal("overloaded", false);
   metrics.ObserveFirstEvent(Tokens(182000), absl::Seconds(2));
+  metrics.CountRetry(true);
+  metrics.CountRetry(false);
   Gauges gauges;
   gauges.config_age = absl::Milliseconds(1500);
   gauges.ready = true;
@@ -21,6 +23,8 @@
              Catch::Contains("umbertrail_requests_total{outcome=\"answered\","
                              "repeat=\"safe\"} 2"));
   CHECK_THAT(text, Catch::Contains("reason=\"overloaded\"} 1"));
+  CHECK_THAT(text, Catch::Contains("result=\"granted\"} 1"));
+  CHECK_THAT(text, Catch::Contains("result=\"denied\"} 1"));
   CHECK_THAT(text, Catch::Contains("length=\"long\",le=\"2\"} 1"));
   CHECK_THAT(text, Catch::Contains("length=\"long\",le=\"1.5\"} 0"));
   CHECK_THAT(text,
