Retry budget: credit that ends with the process

Cause: each process had its whole share of the allowance at its start, and what its own requests of the last window had earned, although its predecessor had just spent the same. Class: a fleet's limit kept in memory that a restart forgets, over a window that goes on.

Change: a bucket for each service. A request earns 0.9 x ratio, a window 0.4 of the instance's share; 0.6 of the share may be held. A new process begins without credit, but at the first start of the whole fleet. Any window then sees at most what was held at its start and what was earned in it, however often processes are restarted; late arrivals add little, as a window that is longer by d earns more by d only.

--- a/packages/dispatch/include/umbertrail/dispatch/budgets.h
+++ b/packages/dispatch/include/umbertrail/dispatch/budgets.h
@@ -25,15 +25,28 @@
   std::deque<absl::Time> events_;
 };
 
-// Limits retries of a service's requests by this instance: a ratio of its own
-// requests plus its fraction of the fleet's fixed allowance.
+// Limits retries of a service's requests by this instance: a bucket of credit,
+// filled by each request with a fraction of a retry and by time with a part of
+// this instance's share of the fleet's allowance. The rest of the share bounds
+// the credit that it may hold. In any window all instances together then send
+// no more retries than the allowance plus the ratio of the requests, however
+// often they are restarted, as credit ends with the process.
 class RetryBudget {
  public:
-  RetryBudget(double ratio, double fleet_allowance, absl::Duration window);
+  // The credit of a new process. It is empty if an earlier process of this
+  // instance may have spent the same share a moment ago.
+  enum class InitialCredit { kNone, kFull };
 
-  void NoteRequest(absl::Time now) { requests_.Add(now); }
-  // Consumes one retry; false if the budget is exhausted. `instances` share the
-  // allowance.
+  // `fleet_allowance` retries per `window` are shared by the `instances` given
+  // with each call.
+  RetryBudget(double ratio,
+              double fleet_allowance,
+              absl::Duration window,
+              InitialCredit initial,
+              absl::Time now);
+
+  void NoteRequest(absl::Time now, int instances);
+  // Consumes one retry; false if the budget is exhausted.
   bool Take(absl::Time now, int instances);
   // Retries left; a fraction counts towards a later one.
   double Remaining(absl::Time now, int instances);
@@ -41,8 +54,9 @@
  private:
   double ratio_;
   double fleet_allowance_;
-  SlidingCount requests_;
-  SlidingCount retries_;
+  absl::Duration window_;
+  double credit_;
+  absl::Time updated_;
 };
 
 // Rate limit of one instance's sends to one target, so that all instances
--- a/packages/dispatch/src/budgets.cc
+++ b/packages/dispatch/src/budgets.cc
@@ -8,6 +8,9 @@
 // Fraction of the fleet's allowances that is used: the rest covers events that
 // are sent in one window and arrive in another.
 constexpr double kUsedFraction = 0.9;
+// Part of an instance's share of the retry allowance that it may hold as
+// credit; the rest is earned over a window.
+constexpr double kHeldFraction = 0.6;
 
 }  // namespace
 
@@ -29,24 +32,34 @@
 
 RetryBudget::RetryBudget(double ratio,
                          double fleet_allowance,
-                         absl::Duration window)
+                         absl::Duration window,
+                         InitialCredit initial,
+                         absl::Time now)
     : ratio_(ratio),
       fleet_allowance_(fleet_allowance),
-      requests_(window),
-      retries_(window) {}
+      window_(window),
+      credit_(initial == InitialCredit::kFull ? fleet_allowance : 0),
+      updated_(now) {}
 
 double RetryBudget::Remaining(absl::Time now, int instances) {
-  const double allowed =
-      kUsedFraction * (ratio_ * requests_.Count(now) +
-                       fleet_allowance_ / std::max(instances, 1));
-  return allowed - retries_.Count(now);
+  const double share =
+      kUsedFraction * fleet_allowance_ / std::max(instances, 1);
+  const double windows = absl::FDivDuration(now - updated_, window_);
+  credit_ = std::min(credit_ + (1 - kHeldFraction) * share * windows,
+                     kHeldFraction * share);
+  updated_ = now;
+  return credit_;
+}
+
+void RetryBudget::NoteRequest(absl::Time now, int instances) {
+  credit_ = Remaining(now, instances) + kUsedFraction * ratio_;
 }
 
 bool RetryBudget::Take(absl::Time now, int instances) {
   if (Remaining(now, instances) < 1) {
     return false;
   }
-  retries_.Add(now);
+  --credit_;
   return true;
 }
 
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -70,7 +70,8 @@
   // Requests per second that the fleet may send to a cold target of `service`;
   // 0 if unlimited.
   double FleetRateOf(const ServiceId& service) const;
-  dispatch::RetryBudget& RetryBudgetOf(const ServiceId& service);
+  dispatch::RetryBudget& RetryBudgetOf(const ServiceId& service,
+                                       absl::Time now);
   // Charges a retry of `request` to the service's budget and logs it; false if
   // the budget is exhausted.
   bool TakeRetry(const ServiceId& service,
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -129,7 +129,8 @@
   state_.log.Write(
       EventLog::Level::kImportant, "start",
       {{"callers", absl::string_view(state_.settings.callers_address)},
-       {"data_centre", state_.settings.data_centre.text()}},
+       {"data_centre", state_.settings.data_centre.text()},
+       {"first_start", state_.settings.first_start}},
       BootNow());
   AwaitSignal();
   WatchSettingsFile();
@@ -295,6 +296,7 @@
   settings.control_address = state_.settings.control_address;
   settings.metrics_address = state_.settings.metrics_address;
   settings.peer_port = state_.settings.peer_port;
+  settings.first_start = state_.settings.first_start;
   state_.settings = std::move(settings);
   state_.log.Write(EventLog::Level::kImportant, "reload", {}, BootNow());
 }
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -68,7 +68,8 @@
   const absl::Duration kept = std::min(facts_.time_left, route_->timeout);
   deadline_ = started_ + kept;
   deadline_alarm_.Set(kept, shared_from_this(), &Relay::OnDeadline);
-  state_.RetryBudgetOf(service_id_).NoteRequest(started_);
+  state_.RetryBudgetOf(service_id_, started_)
+      .NoteRequest(started_, state_.instances);
   PlaceAndSend();
 }
 
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -147,17 +147,22 @@
          settings.cold_slack;
 }
 
-dispatch::RetryBudget& State::RetryBudgetOf(const ServiceId& service) {
+dispatch::RetryBudget& State::RetryBudgetOf(const ServiceId& service,
+                                            absl::Time now) {
   return retry_budgets
       .try_emplace(service, settings.retry_ratio, settings.retry_slack,
-                   settings.retry_window)
+                   settings.retry_window,
+                   settings.first_start
+                       ? dispatch::RetryBudget::InitialCredit::kFull
+                       : dispatch::RetryBudget::InitialCredit::kNone,
+                   now)
       .first->second;
 }
 
 bool State::TakeRetry(const ServiceId& service,
                       const RequestId& request,
                       absl::Time now) {
-  dispatch::RetryBudget& budget = RetryBudgetOf(service);
+  dispatch::RetryBudget& budget = RetryBudgetOf(service, now);
   const bool granted = budget.Take(now, instances);
   metrics.CountRetry(granted);
   log.Write(EventLog::Level::kNormal, "retry",
--- a/tests/adapter/node_settings_test.cc
+++ b/tests/adapter/node_settings_test.cc
@@ -20,6 +20,7 @@
   - "10.1.0.40:8229"
   - "10.2.0.29:8229"
 data_dir: null
+bootstrap: true
 limits:
   cpu_share: 0.12
   cores: 2
@@ -48,6 +49,7 @@
   CHECK(settings.revoke == absl::Milliseconds(4500));
   CHECK(settings.grace == absl::Seconds(8));
   CHECK(settings.retry_slack == 102);
+  CHECK(settings.first_start);
   CHECK(settings.cpu_cores == Approx(0.24));
   // The smaller of the two bounds.
   CHECK(settings.max_apply_delay == absl::Seconds(3));
--- a/tests/front/running_front.cc
+++ b/tests/front/running_front.cc
@@ -40,6 +40,7 @@
       absl::SimpleAtoi(free.substr(free.find(':') + 1), &settings.peer_port));
   settings.store_address = store.address();
   settings.retry_slack = 1000;
+  settings.first_start = true;
   return settings;
 }
 
