A restarted instance is told the fleet's size before it spends of its allowances

Cause: the divisor of a process that has heard of few instances was 8, in a fleet of 59 or 300 too, right after its start and, where it is cut off, for as long as that lasts.

Change: FleetSize. At the first start of the whole fleet an instance trusts its count. Later it divides by 8,192 until an instance that knows the size tells it; gossip carries the size and its age, so that a fleet that shrank forgets after ten minutes. After 30 s without being told it trusts its own count, as all others may be new as well. Peer messages have version 5. Looked for elsewhere: the rate of cold targets is divided by the same number and now bounded likewise.

--- a/packages/dispatch/include/umbertrail/dispatch/fleet_size.h
+++ b/packages/dispatch/include/umbertrail/dispatch/fleet_size.h
@@ -1,22 +1,63 @@
 #ifndef UMBERTRAIL_DISPATCH_FLEET_SIZE_H_
 #define UMBERTRAIL_DISPATCH_FLEET_SIZE_H_
 
+#include <optional>
+
+#include "absl/time/time.h"
+
 namespace umbertrail::dispatch {
 
+// What an instance tells others of the fleet's size.
+struct FleetSizeReport {
+  int instances = 0;
+  // Time since an instance last knew of so many live ones.
+  absl::Duration age;
+};
+
 // Number of instances among which the fleet's budgets are divided, as far as
-// this instance knows.
+// this instance knows. A restarted instance doesn't trust its own count, as it
+// may be cut off from the others: until an older instance tells it the size it
+// divides by the largest possible number.
 class FleetSize {
  public:
+  // No fleet has more instances.
+  static constexpr int kMaxInstances = 8192;
+
+  enum class Start {
+    // The only instance of its fleet, which starts for the first time.
+    kAlone,
+    // The whole fleet starts for the first time.
+    kWithFleet,
+    // Others may have run before.
+    kLater,
+  };
+
+  FleetSize(Start start, absl::Time started_at)
+      : start_(start), started_at_(started_at) {}
+
   // Live instances that this one knows of, itself included.
-  void NoteLive(int instances);
-  int Divisor() const { return largest_; }
+  void NoteLive(int instances, absl::Time now);
+  // What another instance told.
+  void Merge(const FleetSizeReport& report, absl::Time now);
+  // What to tell other instances; nothing while the size is unknown.
+  std::optional<FleetSizeReport> Report(absl::Time now) const;
+  int Divisor(absl::Time now) const;
 
  private:
-  // A partitioned instance doesn't know how many others there are.
-  static constexpr int kMinInstances = 8;
+  bool IsKnown(absl::Time now) const;
+  void Raise(int instances, absl::Time seen_at);
 
-  // The largest number seen; never decreases.
-  int largest_ = kMinInstances;
+  Start start_;
+  absl::Time started_at_;
+  // An instance that knows the size has told it.
+  bool was_told_ = false;
+  // The largest number ever counted or told; doesn't decrease, as the others
+  // may be cut off.
+  int largest_ = 1;
+  // The largest number within the retention time, and when it was seen last.
+  // Only this is told, so that a fleet that shrinks forgets its former size.
+  int recent_ = 1;
+  absl::Time recent_at_ = absl::InfinitePast();
 };
 
 }  // namespace umbertrail::dispatch
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -121,6 +121,25 @@
   return members;
 }
 
+void EncodeFleetSize(const std::optional<dispatch::FleetSizeReport>& report,
+                     PeerMessage* message) {
+  if (report) {
+    message->fleet_size = static_cast<uint32_t>(report->instances);
+    message->fleet_size_age_ms = ToMillis(report->age);
+  }
+}
+
+std::optional<dispatch::FleetSizeReport> DecodeFleetSize(
+    const PeerMessage& message) {
+  if (message.fleet_size == 0 ||
+      message.fleet_size > dispatch::FleetSize::kMaxInstances) {
+    return std::nullopt;
+  }
+  return dispatch::FleetSizeReport{
+      static_cast<int>(message.fleet_size),
+      absl::Milliseconds(message.fleet_size_age_ms)};
+}
+
 PeerPlacementRequest ToWire(uint64_t id, const PlacementRequest& request) {
   PeerPlacementRequest wire;
   wire.id = id;
--- a/packages/front/src/peer_codec.h
+++ b/packages/front/src/peer_codec.h
@@ -1,8 +1,11 @@
 #ifndef UMBERTRAIL_FRONT_SRC_PEER_CODEC_H_
 #define UMBERTRAIL_FRONT_SRC_PEER_CODEC_H_
 
+#include <optional>
+
 #include "absl/time/time.h"
 #include "peer_message.h"
+#include "umbertrail/dispatch/fleet_size.h"
 #include "umbertrail/dispatch/load_board.h"
 #include "umbertrail/dispatch/members.h"
 #include "umbertrail/front/placer.h"
@@ -22,6 +25,12 @@
 std::vector<dispatch::Member> DecodeMembers(const PeerMessage& message,
                                             absl::Time now);
 
+void EncodeFleetSize(const std::optional<dispatch::FleetSizeReport>& report,
+                     PeerMessage* message);
+// Nothing if the sender stated no size, or an impossible one.
+std::optional<dispatch::FleetSizeReport> DecodeFleetSize(
+    const PeerMessage& message);
+
 PeerPlacementRequest ToWire(uint64_t id, const PlacementRequest& request);
 // `from` is the data centre of the sender.
 PlacementRequest FromWire(const PeerPlacementRequest& wire,
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -29,8 +29,8 @@
 constexpr absl::Duration kDisseminationTime = absl::Seconds(3);
 // Maximum crashes, and likewise departures, per message.
 constexpr size_t kMaxDisseminated = 32;
-// Maximum number of tracked senders; no fleet is larger.
-constexpr size_t kMaxPeers = 8192;
+// Maximum number of tracked senders.
+constexpr size_t kMaxPeers = dispatch::FleetSize::kMaxInstances;
 
 std::string HostOf(const std::string& address) {
   return address.substr(0, address.find(':'));
@@ -160,6 +160,9 @@
   for (const dispatch::Member& member : DecodeMembers(message, now)) {
     state_.members.Merge(member);
   }
+  if (const auto report = DecodeFleetSize(message)) {
+    state_.fleet_size.Merge(*report, now);
+  }
 }
 
 void PeerLink::ApplyLoadReport(const PeerMessage& message,
@@ -265,6 +268,7 @@
                                 : dispatch::Members::kMaxMembersPerMessage,
                     state_.random),
                 now, message);
+  EncodeFleetSize(state_.fleet_size.Report(now), message);
   for (const PendingCrash& pending : pending_crashes_) {
     if (message->crashes.size() < kMaxDisseminated) {
       message->crashes.push_back(
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace umbertrail::front {
 
-inline constexpr uint32_t kPeerMessageVersion = 4;
+inline constexpr uint32_t kPeerMessageVersion = 5;
 
 // A work item at a target.
 struct PeerWork {
@@ -160,6 +160,10 @@
   bool leaving = false;
   // Requests the receiver's gossip in reply.
   bool wants_gossip = false;
+  // Size of the fleet as known to the sender, and the time since any instance
+  // saw so many; 0: none stated.
+  uint32_t fleet_size = 0;
+  uint32_t fleet_size_age_ms = 0;
   // Data centres of `members`.
   std::vector<std::string> data_centres;
   std::vector<PeerMember> members;
@@ -177,6 +181,8 @@
                        full_report,
                        leaving,
                        wants_gossip,
+                       fleet_size,
+                       fleet_size_age_ms,
                        data_centres,
                        members,
                        targets,
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -69,7 +69,7 @@
   deadline_ = started_ + kept;
   deadline_alarm_.Set(kept, shared_from_this(), &Relay::OnDeadline);
   state_.RetryBudgetOf(service_id_, started_)
-      .NoteRequest(started_, state_.fleet_size.Divisor());
+      .NoteRequest(started_, state_.fleet_size.Divisor(started_));
   PlaceAndSend();
 }
 
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -17,6 +17,14 @@
 // Homes per shard, each of which allots its share of a target's rate.
 constexpr int kHomesSharingRate = 2;
 
+dispatch::FleetSize::Start StartOf(const adapter::InstanceSettings& settings) {
+  if (!settings.first_start) {
+    return dispatch::FleetSize::Start::kLater;
+  }
+  return settings.seeds.empty() ? dispatch::FleetSize::Start::kAlone
+                                : dispatch::FleetSize::Start::kWithFleet;
+}
+
 }  // namespace
 
 absl::Time BootNow() {
@@ -34,6 +42,7 @@
       members({InstanceId(settings.ip), settings.data_centre,
                settings.cpu_cores, absl::InfiniteFuture()}),
       pool(event_loop),
+      fleet_size(StartOf(settings), BootNow()),
       random(std::random_device{}()),
       incarnation(random()) {
   log.SetOnDropped([this] { metrics.CountDroppedLogLine(); });
@@ -97,7 +106,7 @@
 
 void State::CountInstances(absl::Time now) {
   live_instances = members.CountLive(now);
-  fleet_size.NoteLive(live_instances);
+  fleet_size.NoteLive(live_instances, now);
 }
 
 std::vector<dispatch::Candidate> State::CandidatesFor(
@@ -108,7 +117,7 @@
   std::vector<dispatch::Candidate> candidates;
   const double fleet_rate = FleetRateOf(shard.service);
   const int sharers = dispatch::AllInstancesAreHomes(live_instances)
-                          ? fleet_size.Divisor()
+                          ? fleet_size.Divisor(now)
                           : kHomesSharingRate;
   for (const auto& [id, entry] : view.targets()) {
     if (!shard.Holds(entry) || !view.MayServe(entry) ||
@@ -159,7 +168,7 @@
                       const RequestId& request,
                       absl::Time now) {
   dispatch::RetryBudget& budget = RetryBudgetOf(service, now);
-  const int instances = fleet_size.Divisor();
+  const int instances = fleet_size.Divisor(now);
   const bool granted = budget.Take(now, instances);
   metrics.CountRetry(granted);
   log.Write(EventLog::Level::kNormal, "retry",
--- a/tests/dispatch/retry_budget_fleet_test.cc
+++ b/tests/dispatch/retry_budget_fleet_test.cc
@@ -51,8 +51,8 @@
   Fleet(int size, double slack) : slack_(slack), observer_(slack) {
     for (int i = 0; i < size; ++i) {
       instances_.push_back(
-          {NewBudget(RetryBudget::InitialCredit::kFull, kStart), FleetSize(),
-           kStart, 0});
+          {NewBudget(RetryBudget::InitialCredit::kFull, kStart),
+           FleetSize(FleetSize::Start::kWithFleet, kStart), kStart, 0});
     }
   }
 
@@ -60,35 +60,47 @@
 
   void Request(int instance, absl::Time now) {
     Instance& it = instances_[instance];
-    it.budget.NoteRequest(now, it.size.Divisor());
+    it.budget.NoteRequest(now, it.size.Divisor(now));
     observer_.NoteRequest(now);
   }
 
   void RetryAll(int instance, absl::Time now) {
     Instance& it = instances_[instance];
-    while (it.budget.Take(now, it.size.Divisor())) {
+    while (it.budget.Take(now, it.size.Divisor(now))) {
       observer_.NoteRetry(now);
     }
   }
 
   void Restart(int instance, absl::Time now) {
     Instance& it = instances_[instance];
-    it = {NewBudget(RetryBudget::InitialCredit::kNone, now), FleetSize(), now,
-          it.part};
+    it = {NewBudget(RetryBudget::InitialCredit::kNone, now),
+          FleetSize(FleetSize::Start::kLater, now), now, it.part};
   }
 
   // Instances of different parts don't hear each other.
   void SetPart(int instance, int part) { instances_[instance].part = part; }
 
-  // Each instance learns of those of its part that have run for a while.
-  void Gossip(absl::Time now) {
+  // Each instance learns of those of its part that have run for a while, and
+  // hears from some of them how large the fleet is.
+  void Gossip(absl::Time now, std::mt19937& random) {
     for (Instance& it : instances_) {
-      it.size.NoteLive(static_cast<int>(std::count_if(
-          instances_.begin(), instances_.end(), [&](const Instance& other) {
-            return &other == &it ||
-                   (other.part == it.part && now - it.born >= kHearingDelay &&
-                    now - other.born >= kHearingDelay);
-          })));
+      std::vector<const Instance*> heard;
+      for (const Instance& other : instances_) {
+        if (&other != &it && other.part == it.part &&
+            now - it.born >= kHearingDelay &&
+            now - other.born >= kHearingDelay) {
+          heard.push_back(&other);
+        }
+      }
+      it.size.NoteLive(1 + static_cast<int>(heard.size()), now);
+      std::vector<const Instance*> partners;
+      std::sample(heard.begin(), heard.end(), std::back_inserter(partners), 3,
+                  random);
+      for (const Instance* partner : partners) {
+        if (const auto report = partner->size.Report(now)) {
+          it.size.Merge(*report, now);
+        }
+      }
     }
   }
 
@@ -135,7 +147,7 @@
     while (now < traffic_start + absl::Seconds(30)) {
       now += absl::Milliseconds(Below(50));
       if (now >= next_gossip) {
-        fleet_.Gossip(now);
+        fleet_.Gossip(now, random_);
         next_gossip = now + absl::Milliseconds(400);
       }
       if (now < traffic_start) {
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -25,6 +25,18 @@
   CHECK(decoded.value == Approx(2.5));
 }
 
+TEST_CASE("the fleet's size survives encoding and decoding") {
+  PeerMessage message;
+  CHECK_FALSE(DecodeFleetSize(message));
+  EncodeFleetSize(dispatch::FleetSizeReport{59, absl::Seconds(3)}, &message);
+  const auto decoded = DecodeFleetSize(message);
+  REQUIRE(decoded);
+  CHECK(decoded->instances == 59);
+  CHECK(decoded->age == absl::Seconds(3));
+  message.fleet_size = dispatch::FleetSize::kMaxInstances + 1;
+  CHECK_FALSE(DecodeFleetSize(message));
+}
+
 TEST_CASE("a placement request survives encoding and decoding") {
   PlacementRequest request;
   request.shard = {ServiceId("llm"), DataCentreId("east"), 4, 3};
