Log the rate limits that targets state

Server-Limit was not read and left no line, so the logs could not tell a limit that is not known from one that is not kept. It is parsed in the adapter, kept by the most recent response of each target's incarnation, and logged when it changes (target_limit, strange_limit). Nothing acts on it yet.

--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -20,6 +20,7 @@
 #include "umbertrail/dispatch/poison.h"
 #include "umbertrail/dispatch/shards.h"
 #include "umbertrail/dispatch/target_health.h"
+#include "umbertrail/dispatch/target_limits.h"
 #include "umbertrail/front/event_log.h"
 #include "umbertrail/front/metrics.h"
 #include "umbertrail/front/target_pool.h"
@@ -89,6 +90,8 @@
   // Stops sending requests to a target that announced its departure, if it was
   // born at or before `born_ms`. True when this was not known.
   bool MarkLeaving(const TargetId& target, int64_t born_ms, absl::Time now);
+  // Takes note of what a response says of a target's rate limit.
+  void RecordLimit(const dispatch::TargetLimit& stated, absl::Time now);
   // Starts a backoff that the target requested. It outlasts a restart, as it
   // applies to the target's address.
   void StartBackoff(const TargetId& target,
@@ -117,6 +120,7 @@
   TargetPool pool;
   std::map<TargetId, dispatch::TargetHealth> health;
   std::map<TargetId, dispatch::TargetRate> rates;
+  dispatch::TargetLimits limits;
   // Outcomes not yet reported to the targets' homes.
   std::map<TargetId, UnreportedOutcomes> unreported_outcomes;
   std::map<ServiceId, dispatch::RetryBudget> retry_budgets;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -68,6 +68,14 @@
                       {"said", absl::string_view(facts.invalid_retry_after)}},
                      now);
   }
+  if (!facts.invalid_rate_limit.empty()) {
+    state_.log.Write(EventLog::Level::kImportant, "strange_limit",
+                     {{"target", target_.text()},
+                      {"said", absl::string_view(facts.invalid_rate_limit)}},
+                     now);
+  } else if (facts.matches_request && !facts.misdirected) {
+    state_.RecordLimit({target_, target_born_ms_, facts.rate_limit, now}, now);
+  }
   if (facts.retry_after > absl::ZeroDuration()) {
     state_.StartBackoff(target_, facts.retry_after, now);
   }
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -220,6 +220,18 @@
   return true;
 }
 
+void State::RecordLimit(const dispatch::TargetLimit& stated, absl::Time now) {
+  if (!limits.Merge(stated)) {
+    return;
+  }
+  log.Write(EventLog::Level::kImportant, "target_limit",
+            {{"target", stated.target.text()},
+             {"limited", stated.rate.has_value()},
+             {"per_s", stated.rate.value_or(0)},
+             {"age_ms", absl::ToInt64Milliseconds(now - stated.stated_at)}},
+            now);
+}
+
 void State::StartBackoff(const TargetId& target,
                          absl::Duration duration,
                          absl::Time now) {
--- a/tests/adapter/request_codec_test.cc
+++ b/tests/adapter/request_codec_test.cc
@@ -175,5 +175,22 @@
   }
 }
 
+TEST_CASE("a stated rate limit is parsed") {
+  const auto read = [](int status, const std::string& text) {
+    net::ResponseHead head;
+    head.status = status;
+    head.headers.Add("Server-Limit", text);
+    return ReadResponse(head, RequestId("9c41"));
+  };
+  CHECK(read(200, "2.5").rate_limit == 2.5);
+  CHECK(read(503, "0").rate_limit == 0.0);
+  CHECK(read(421, "2.5").rate_limit == std::nullopt);
+  for (const std::string text : {"-1", "few", "nan", "inf", "", "2/s"}) {
+    CAPTURE(text);
+    CHECK(read(200, text).rate_limit == std::nullopt);
+    CHECK(read(200, text).invalid_rate_limit == text);
+  }
+}
+
 }  // namespace
 }  // namespace umbertrail::adapter
