Test that fails: a target gets more requests than the limit that it states

Of 60 requests to an instance with two targets, about half reach the one that states a limit of one a second.

--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -530,6 +530,33 @@
   CHECK(fleet.requests().size() >= 10);
 }
 
+TEST_CASE("a target gets no more requests than the limit that it states") {
+  constexpr double kLimit = 1;
+  Fleet fleet(2, [](FakeConnection& connection, const std::string& request) {
+    const bool limited = HeaderOf(request, "X-Expect-Instance") == "t0";
+    connection.Write(absl::StrCat(
+        "HTTP/1.1 200 OK\r\n", EchoId(request),
+        limited ? absl::StrCat("Server-Limit: ", kLimit, "\r\n") : "",
+        "Content-Length: 4\r\n\r\ndone"));
+  });
+  ReadyFront front(fleet);
+  const absl::Time start = absl::Now();
+  for (int i = 0; i < 60; ++i) {
+    CHECK_THAT(Ask(front.callers(),
+                   PlatformRequest("/safe/x", absl::StrCat("id", i), "k1")),
+               Catch::EndsWith("done"));
+  }
+  int at_limited = 0;
+  for (const std::string& request : fleet.requests()) {
+    at_limited += HeaderOf(request, "X-Expect-Instance") == "t0" ? 1 : 0;
+  }
+  // The bound of the contract, which is stated for any four seconds.
+  const double allowed =
+      1.5 * kLimit * absl::ToDoubleSeconds(absl::Now() - start) + 5;
+  CHECK(at_limited > 0);
+  CHECK(at_limited <= allowed);
+}
+
 TEST_CASE("callers get the shortest Retry-After of all targets") {
   Fleet fleet(2, [](FakeConnection& connection, const std::string& request) {
     const bool first = HeaderOf(request, "X-Expect-Instance") == "t0";
