Keep the rate limit that a target states, over all instances

Class: a limit that binds the fleet, known to one instance only or to none.

Change: the most recent response of each target's incarnation decides, told with its age. A few instances are a target's senders and share nine tenths of its rate, each with one request in hand at most; so the sum stays below one and a half times the rate and five more, also while views of the members differ. Beyond 16 instances these are the target's homes. Others send nothing; retries and callers are placed elsewhere or refused at once with the time until the next turn. RetryBudget and these shares use one TokenBucket.

Ruled out: equal shares for each instance (sum of what 59 instances hold is beyond the bound before anything is sent by rate).

--- a/packages/dispatch/include/umbertrail/dispatch/budgets.h
+++ b/packages/dispatch/include/umbertrail/dispatch/budgets.h
@@ -25,6 +25,23 @@
   std::deque<absl::Time> events_;
 };
 
+// A token bucket whose rate and capacity may change.
+class TokenBucket {
+ public:
+  TokenBucket(double tokens, absl::Time now) : tokens_(tokens), filled_(now) {}
+
+  // Adds the tokens of the time since the last call, up to `capacity`.
+  void Fill(absl::Time now, double tokens_per_s, double capacity);
+  void Add(double tokens) { tokens_ += tokens; }
+  double tokens() const { return tokens_; }
+  // Consumes one token; false if there is less than one.
+  bool Take();
+
+ private:
+  double tokens_;
+  absl::Time filled_;
+};
+
 // Limits retries of a service's requests by this instance: a bucket of credit,
 // filled by each request with a fraction of a retry and by time with a part of
 // this instance's share of the fleet's allowance. The rest of the share bounds
@@ -55,8 +72,7 @@
   double ratio_;
   double fleet_allowance_;
   absl::Duration window_;
-  double credit_;
-  absl::Time updated_;
+  TokenBucket credit_;
 };
 
 // Rate limit of one instance's sends to one target, so that all instances
--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -54,14 +54,16 @@
   double failure_rate = 0;
   // Ratio of recent measured to modelled prefill times; 1 as modelled.
   double slowdown = 1;
-  // The rate limit of this second is exhausted.
-  bool rate_limited = false;
+  // Time until its rate limit allows a request; zero if it does now.
+  absl::Duration rate_wait = absl::ZeroDuration();
   // It could not reserve memory for this request, or failed as its helper.
   bool excluded_as_helper = false;
 };
 
 struct PlacementDecision {
   TargetId target;
+  // The request is charged to the rate limit that the target states.
+  bool charged_to_limit = false;
   // Targets that prefill parts of the prompt.
   std::vector<TargetId> helpers;
   // Memory to reserve at each helper; zero if the target itself holds the whole
--- a/packages/dispatch/src/budgets.cc
+++ b/packages/dispatch/src/budgets.cc
@@ -30,6 +30,20 @@
   return static_cast<int>(events_.size());
 }
 
+void TokenBucket::Fill(absl::Time now, double tokens_per_s, double capacity) {
+  const double elapsed_s = std::max(absl::ToDoubleSeconds(now - filled_), 0.0);
+  tokens_ = std::min(tokens_ + tokens_per_s * elapsed_s, capacity);
+  filled_ = std::max(filled_, now);
+}
+
+bool TokenBucket::Take() {
+  if (tokens_ < 1) {
+    return false;
+  }
+  --tokens_;
+  return true;
+}
+
 RetryBudget::RetryBudget(double ratio,
                          double fleet_allowance,
                          absl::Duration window,
@@ -38,29 +52,25 @@
     : ratio_(ratio),
       fleet_allowance_(fleet_allowance),
       window_(window),
-      credit_(initial == InitialCredit::kFull ? fleet_allowance : 0),
-      updated_(now) {}
+      credit_(initial == InitialCredit::kFull ? fleet_allowance : 0, now) {}
 
 double RetryBudget::Remaining(absl::Time now, int instances) {
   const double share =
       kUsedFraction * fleet_allowance_ / std::max(instances, 1);
-  const double windows = absl::FDivDuration(now - updated_, window_);
-  credit_ = std::min(credit_ + (1 - kHeldFraction) * share * windows,
-                     kHeldFraction * share);
-  updated_ = now;
-  return credit_;
+  credit_.Fill(now,
+               (1 - kHeldFraction) * share / absl::ToDoubleSeconds(window_),
+               kHeldFraction * share);
+  return credit_.tokens();
 }
 
 void RetryBudget::NoteRequest(absl::Time now, int instances) {
-  credit_ = Remaining(now, instances) + kUsedFraction * ratio_;
+  Remaining(now, instances);
+  credit_.Add(kUsedFraction * ratio_);
 }
 
 bool RetryBudget::Take(absl::Time now, int instances) {
-  if (Remaining(now, instances) < 1) {
-    return false;
-  }
-  --credit_;
-  return true;
+  Remaining(now, instances);
+  return credit_.Take();
 }
 
 bool TargetRate::MaySend(absl::Time now, double fleet_rate, int instances) {
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -357,8 +357,8 @@
   size_t index = 0;
   for (const Candidate& candidate : candidates) {
     ++index;
-    if (candidate.rate_limited) {
-      min_wait = std::min(min_wait, absl::Seconds(1));
+    if (candidate.rate_wait > absl::ZeroDuration()) {
+      min_wait = std::min(min_wait, candidate.rate_wait);
       continue;
     }
     ScoredCandidate one =
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -36,6 +36,8 @@
   void ScheduleFlush();
   void PublishCrashes(const std::vector<dispatch::TargetCrash>& crashes);
   // Announces that the target with birth time `born_ms` is leaving.
+  // Tells others, above all the target's homes, that its limit changed.
+  void PublishLimit(const TargetId& target);
   void PublishDeparture(const TargetId& target, int64_t born_ms);
   // Sends a placement request to a home.
   void SendPlacementRequest(const InstanceId& home,
@@ -88,6 +90,8 @@
   std::vector<InstanceId> ChooseGossipPartners(absl::Time now);
   PeerMessage NewMessage();
   void AddGossip(PeerMessage* message, absl::Time now);
+  // Adds what targets stated of their rate limits.
+  void AddLimits(PeerMessage* message, absl::Time now);
   void SendGossip(absl::Time now);
   void AddLoadReport(const std::vector<TargetId>& targets,
                      PeerMessage* message,
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -90,8 +90,16 @@
   // Stops sending requests to a target that announced its departure, if it was
   // born at or before `born_ms`. True when this was not known.
   bool MarkLeaving(const TargetId& target, int64_t born_ms, absl::Time now);
-  // Takes note of what a response says of a target's rate limit.
-  void RecordLimit(const dispatch::TargetLimit& stated, absl::Time now);
+  // Takes note of what a response says of a target's rate limit. True if that
+  // changes it.
+  bool RecordLimit(const dispatch::TargetLimit& stated, absl::Time now);
+  // Time until this instance may send to a target by the limit that it states;
+  // zero if it may now.
+  absl::Duration TimeToSend(const dispatch::TargetEntry& target,
+                            absl::Time now);
+  // Charges a request to the limit that the target states, if any; false if
+  // this instance may not send now.
+  bool ChargeLimit(const dispatch::TargetEntry& target, absl::Time now);
   // Starts a backoff that the target requested. It outlasts a restart, as it
   // applies to the target's address.
   void StartBackoff(const TargetId& target,
@@ -138,12 +146,20 @@
   // Disseminates departures announced to this instance.
   std::function<void(const TargetId& target, int64_t born_ms)>
       publish_departure;
+  // Disseminates a change of a target's limit that was stated to this instance.
+  std::function<void(const TargetId& target)> publish_limit;
   std::mt19937_64 random;
   uint64_t next_reservation = 1;
   // Incarnation number: random per process start.
   uint64_t incarnation;
 
  private:
+  // Among how many instances a target's limit is shared; 0 if this one has no
+  // share in it.
+  int SharersOfLimit(const dispatch::TargetEntry& target,
+                     const dispatch::TargetLimit& limit,
+                     absl::Time now);
+
   std::map<TargetId, absl::Time> backoff_until_;
   dispatch::ShardTable shards_;
   uint64_t sharded_changes_ = 0;
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -89,6 +89,9 @@
   state_.publish_departure = [this](const TargetId& target, int64_t born_ms) {
     peers_->PublishDeparture(target, born_ms);
   };
+  state_.publish_limit = [this](const TargetId& target) {
+    peers_->PublishLimit(target);
+  };
   state_.placer = std::make_shared<Placer>(
       state_, [this](const InstanceId& home, uint64_t id,
                      const PlacementRequest& request) {
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -140,6 +140,26 @@
       absl::Milliseconds(message.fleet_size_age_ms)};
 }
 
+PeerLimit ToWire(const dispatch::TargetLimit& limit, absl::Time now) {
+  return {limit.target.text(), limit.born_ms, limit.rate.has_value(),
+          limit.rate.value_or(0), ToMillis(now - limit.stated_at)};
+}
+
+std::optional<dispatch::TargetLimit> FromWire(const PeerLimit& wire,
+                                              absl::Time now) {
+  if (!std::isfinite(wire.rate) || wire.rate < 0) {
+    return std::nullopt;
+  }
+  dispatch::TargetLimit limit;
+  limit.target = TargetId(wire.target);
+  limit.born_ms = wire.born_ms;
+  limit.stated_at = now - absl::Milliseconds(wire.age_ms);
+  if (wire.limited) {
+    limit.rate = wire.rate;
+  }
+  return limit;
+}
+
 PeerPlacementRequest ToWire(uint64_t id, const PlacementRequest& request) {
   PeerPlacementRequest wire;
   wire.id = id;
@@ -195,6 +215,7 @@
         static_cast<uint64_t>(placed.reserve_per_helper.value());
     wire.first_event_ms = ToMillis(placed.time_to_first_event);
     wire.cost = static_cast<float>(placed.cost);
+    wire.charged_to_limit = placed.charged_to_limit;
   }
   wire.retry_after_ms = ToMillis(reply.result.retry_after);
   if (reply.result.min_time_to_first_event != absl::InfiniteDuration()) {
@@ -215,6 +236,7 @@
         Tokens(static_cast<int64_t>(wire.reserve_per_helper));
     placed.time_to_first_event = absl::Milliseconds(wire.first_event_ms);
     placed.cost = wire.cost;
+    placed.charged_to_limit = wire.charged_to_limit;
     reply.result.decision = std::move(placed);
   }
   reply.result.retry_after = absl::Milliseconds(wire.retry_after_ms);
--- a/packages/front/src/peer_codec.h
+++ b/packages/front/src/peer_codec.h
@@ -8,6 +8,7 @@
 #include "umbertrail/dispatch/fleet_size.h"
 #include "umbertrail/dispatch/load_board.h"
 #include "umbertrail/dispatch/members.h"
+#include "umbertrail/dispatch/target_limits.h"
 #include "umbertrail/front/placer.h"
 
 // Converts between the types of placement and the wire format. Points in time
@@ -31,6 +32,11 @@
 std::optional<dispatch::FleetSizeReport> DecodeFleetSize(
     const PeerMessage& message);
 
+PeerLimit ToWire(const dispatch::TargetLimit& limit, absl::Time now);
+// Nothing if the rate is impossible.
+std::optional<dispatch::TargetLimit> FromWire(const PeerLimit& wire,
+                                              absl::Time now);
+
 PeerPlacementRequest ToWire(uint64_t id, const PlacementRequest& request);
 // `from` is the data centre of the sender.
 PlacementRequest FromWire(const PeerPlacementRequest& wire,
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -200,6 +200,12 @@
           {target, report.born_ms, now + kDisseminationTime});
     }
   }
+  for (const PeerLimit& wire : message.limits) {
+    const auto limit = FromWire(wire, now);
+    if (limit && state_.view.Find(limit->target) != nullptr) {
+      state_.RecordLimit(*limit, now);
+    }
+  }
   for (const PeerOutcome& outcome : message.outcomes) {
     const TargetId target(outcome.target);
     if (state_.view.Find(target) == nullptr) {
@@ -281,6 +287,17 @@
           {departure.target.text(), departure.born_ms});
     }
   }
+  AddLimits(message, now);
+}
+
+void PeerLink::AddLimits(PeerMessage* message, absl::Time now) {
+  const std::vector<dispatch::TargetLimit> limits = state_.limits.ToTell(now);
+  std::vector<dispatch::TargetLimit> chosen;
+  std::sample(limits.begin(), limits.end(), std::back_inserter(chosen),
+              kMaxDisseminated, state_.random);
+  for (const dispatch::TargetLimit& limit : chosen) {
+    message->limits.push_back(ToWire(limit, now));
+  }
 }
 
 void PeerLink::AddLoadReport(const std::vector<TargetId>& targets,
@@ -388,6 +405,9 @@
   state_.board.RemoveTimedOutPeers(now);
   state_.view.RemoveExpired(now);
   state_.members.RemoveExpired(now);
+  state_.limits.Forget([this](const TargetId& target) {
+    return state_.view.Find(target) == nullptr;
+  });
   state_.CountInstances(now);
   pending_crashes_.erase(
       std::remove_if(pending_crashes_.begin(), pending_crashes_.end(),
@@ -461,6 +481,17 @@
   SendGossip(now);
 }
 
+void PeerLink::PublishLimit(const TargetId& target) {
+  const absl::Time now = BootNow();
+  SendGossip(now);
+  // Homes place the requests of others, too, so they must know at once.
+  for (const auto& [home, targets] : GroupByHome({target}, now)) {
+    PeerMessage message = NewMessage();
+    AddLimits(&message, now);
+    Send(home, message);
+  }
+}
+
 void PeerLink::SendGossip(absl::Time now) {
   for (const InstanceId& partner : ChooseGossipPartners(now)) {
     PeerMessage message = NewMessage();
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -115,6 +115,8 @@
   uint32_t retry_after_ms = 0;
   // Earliest first event at any engine; -1: no engine was considered.
   int64_t earliest_first_event_ms = -1;
+  // The request is charged to the rate limit that the target states.
+  bool charged_to_limit = false;
   MSGPACK_DEFINE_ARRAY(id,
                        candidates,
                        target,
@@ -123,7 +125,8 @@
                        first_event_ms,
                        cost,
                        retry_after_ms,
-                       earliest_first_event_ms);
+                       earliest_first_event_ms,
+                       charged_to_limit);
 };
 
 // A target that announced its departure, identified by its birth time.
@@ -133,6 +136,18 @@
   MSGPACK_DEFINE_ARRAY(target, born_ms);
 };
 
+// The rate limit that a target's incarnation stated, or its end.
+struct PeerLimit {
+  std::string target;
+  int64_t born_ms = 0;
+  bool limited = false;
+  // Requests per second from all instances together.
+  double rate = 0;
+  // Time since an instance received the response.
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(target, born_ms, limited, rate, age_ms);
+};
+
 // Outcomes of the sender's requests at a target since its last message.
 struct PeerOutcome {
   std::string target;
@@ -170,6 +185,7 @@
   std::vector<PeerTarget> targets;
   std::vector<PeerCrash> crashes;
   std::vector<PeerDeparture> departures;
+  std::vector<PeerLimit> limits;
   std::vector<PeerOutcome> outcomes;
   std::vector<PeerPlacementRequest> placement_requests;
   std::vector<PeerPlacementReply> placement_replies;
@@ -188,6 +204,7 @@
                        targets,
                        crashes,
                        departures,
+                       limits,
                        outcomes,
                        placement_requests,
                        placement_replies);
--- a/packages/front/src/placer.cc
+++ b/packages/front/src/placer.cc
@@ -236,6 +236,7 @@
   }
   for (dispatch::Candidate& candidate : candidates) {
     candidate.excluded_as_helper =
+        candidate.excluded_as_helper ||
         std::find(request.excluded_helpers.begin(),
                   request.excluded_helpers.end(),
                   candidate.id) != request.excluded_helpers.end();
@@ -254,7 +255,12 @@
   reply = PlaceLocally(request);
   if (reply.result.decision) {
     const absl::Time now = BootNow();
-    const dispatch::PlacementDecision& placed = *reply.result.decision;
+    dispatch::PlacementDecision& placed = *reply.result.decision;
+    const dispatch::TargetEntry* target = state_.view.Find(placed.target);
+    placed.charged_to_limit =
+        target != nullptr &&
+        state_.limits.Find(target->id, target->born_ms) != nullptr &&
+        state_.ChargeLimit(*target, now);
     for (const auto& [target, item] : dispatch::WorkItemsFor(
              request.profile, state_.EngineFor(request), placed, now)) {
       state_.board.Reserve(requester, target, item, now, kHoldDuration);
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -278,6 +278,16 @@
     Refuse(Refusal::kNoTarget, absl::Milliseconds(200));
     return;
   }
+  if (!placed.charged_to_limit && !state_.ChargeLimit(*entry, now)) {
+    // The target stated a limit during placement or reservation.
+    if (reservation_) {
+      reservation_->Release();
+      reservation_.reset();
+    }
+    tried_targets_.push_back(placed.target);
+    PlaceAndSend();
+    return;
+  }
   const auto endpoint = net::ParseEndpoint(entry->address);
   target_ = placed.target;
   target_born_ms_ = entry->born_ms;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -74,7 +74,10 @@
                       {"said", absl::string_view(facts.invalid_rate_limit)}},
                      now);
   } else if (facts.matches_request && !facts.misdirected) {
-    state_.RecordLimit({target_, target_born_ms_, facts.rate_limit, now}, now);
+    if (state_.RecordLimit({target_, target_born_ms_, facts.rate_limit, now},
+                           now)) {
+      state_.publish_limit(target_);
+    }
   }
   if (facts.retry_after > absl::ZeroDuration()) {
     state_.StartBackoff(target_, facts.retry_after, now);
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -14,6 +14,8 @@
 
 // Lifetime of the cached homes.
 constexpr absl::Duration kHomesCacheTime = absl::Milliseconds(100);
+// When a caller may find a limited target's turn at another instance.
+constexpr absl::Duration kOthersTurn = absl::Seconds(1);
 // Homes per shard, each of which allots its share of a target's rate.
 constexpr int kHomesSharingRate = 2;
 
@@ -136,7 +138,11 @@
     candidate.cold = now < view.ColdUntil(id);
     candidate.failure_rate = seen.FailureRate(now);
     candidate.slowdown = seen.slowdown();
-    candidate.rate_limited = !rates[id].MaySend(now, fleet_rate, sharers);
+    candidate.rate_wait =
+        rates[id].MaySend(now, fleet_rate, sharers)
+            ? TimeToSend(entry, now)
+            : std::max(absl::Seconds(1), TimeToSend(entry, now));
+    candidate.excluded_as_helper = limits.Find(id, entry.born_ms) != nullptr;
     candidates.push_back(std::move(candidate));
   }
   return candidates;
@@ -220,9 +226,9 @@
   return true;
 }
 
-void State::RecordLimit(const dispatch::TargetLimit& stated, absl::Time now) {
+bool State::RecordLimit(const dispatch::TargetLimit& stated, absl::Time now) {
   if (!limits.Merge(stated)) {
-    return;
+    return false;
   }
   log.Write(EventLog::Level::kImportant, "target_limit",
             {{"target", stated.target.text()},
@@ -230,6 +236,46 @@
              {"per_s", stated.rate.value_or(0)},
              {"age_ms", absl::ToInt64Milliseconds(now - stated.stated_at)}},
             now);
+  return true;
+}
+
+int State::SharersOfLimit(const dispatch::TargetEntry& target,
+                          const dispatch::TargetLimit& limit,
+                          absl::Time now) {
+  const InstanceId self(settings.ip);
+  if (dispatch::AllInstancesAreHomes(live_instances)) {
+    const auto live = members.Live(now);
+    const int senders = dispatch::SenderCount(
+        *limit.rate, static_cast<int>(live.size()), now - limit.stated_at);
+    return dispatch::IsSender(target.id, self, live, senders) ? senders : 0;
+  }
+  const dispatch::Shard* shard = Shards().Of(target);
+  if (shard == nullptr) {
+    return 0;
+  }
+  const std::vector<InstanceId> homes = HomesOf(*shard, now);
+  return std::find(homes.begin(), homes.end(), self) == homes.end()
+             ? 0
+             : static_cast<int>(homes.size());
+}
+
+absl::Duration State::TimeToSend(const dispatch::TargetEntry& target,
+                                 absl::Time now) {
+  const dispatch::TargetLimit* limit = limits.Find(target.id, target.born_ms);
+  if (limit == nullptr) {
+    return absl::ZeroDuration();
+  }
+  const int sharers = SharersOfLimit(target, *limit, now);
+  return sharers == 0 ? kOthersTurn : limits.TimeToSend(*limit, sharers, now);
+}
+
+bool State::ChargeLimit(const dispatch::TargetEntry& target, absl::Time now) {
+  const dispatch::TargetLimit* limit = limits.Find(target.id, target.born_ms);
+  if (limit == nullptr) {
+    return true;
+  }
+  const int sharers = SharersOfLimit(target, *limit, now);
+  return sharers > 0 && limits.Take(*limit, sharers, now);
 }
 
 void State::StartBackoff(const TargetId& target,
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -177,7 +177,7 @@
   cold.cold = true;
   CHECK(TargetOf(PlaceAt(ShortRequest(), {cold, Idle("warm")})) == "warm");
   Candidate spent = Idle("spent");
-  spent.rate_limited = true;
+  spent.rate_wait = absl::Seconds(1);
   CHECK(TargetOf(PlaceAt(ShortRequest(), {spent, Idle("other")})) == "other");
   CHECK(TargetOf(PlaceAt(ShortRequest(), {spent})) == "none");
 }
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -557,6 +557,51 @@
   CHECK(at_limited <= allowed);
 }
 
+TEST_CASE("callers are refused at once while all targets are at their limit") {
+  Fleet fleet(2, [](FakeConnection& connection, const std::string& request) {
+    connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
+                                  "Server-Limit: 0.01\r\n"
+                                  "Content-Length: 4\r\n\r\ndone"));
+  });
+  ReadyFront front(fleet);
+  for (int i = 0; i < 2; ++i) {
+    CHECK_THAT(Ask(front.callers(),
+                   PlatformRequest("/safe/x", absl::StrCat("id", i), "k1")),
+               Catch::EndsWith("done"));
+  }
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/safe/x", "id2", "k1"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503"));
+  double seconds = 0;
+  REQUIRE(absl::SimpleAtod(HeaderOf(answer, "Retry-After"), &seconds));
+  CHECK(seconds > 0.5);
+  CHECK(fleet.requests().size() == 2);
+}
+
+TEST_CASE("a target's limit ends with a response that states none") {
+  std::atomic<bool> in_need{true};
+  Fleet fleet(1, [&](FakeConnection& connection, const std::string& request) {
+    connection.Write(
+        absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
+                     in_need.exchange(false) ? "Server-Limit: 5\r\n" : "",
+                     "Content-Length: 4\r\n\r\ndone"));
+  });
+  ReadyFront front(fleet);
+  int id = 0;
+  const auto ask = [&] {
+    return Ask(front.callers(),
+               PlatformRequest("/safe/x", absl::StrCat("id", id++), "k1"));
+  };
+  CHECK_THAT(ask(), Catch::EndsWith("done"));
+  CHECK_THAT(ask(), Catch::StartsWith("HTTP/1.1 503"));
+  while (ask().rfind("HTTP/1.1 503", 0) == 0) {
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+  for (int i = 0; i < 10; ++i) {
+    CHECK_THAT(ask(), Catch::EndsWith("done"));
+  }
+}
+
 TEST_CASE("callers get the shortest Retry-After of all targets") {
   Fleet fleet(2, [](FakeConnection& connection, const std::string& request) {
     const bool first = HeaderOf(request, "X-Expect-Instance") == "t0";
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -1,6 +1,7 @@
 #include "peer_codec.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 namespace umbertrail::front {
 namespace {
@@ -37,6 +38,24 @@
   CHECK_FALSE(DecodeFleetSize(message));
 }
 
+TEST_CASE("a target's limit survives encoding and decoding") {
+  const dispatch::TargetLimit limit{TargetId("t"), 7, 2.5,
+                                    kNow - absl::Milliseconds(300)};
+  const auto decoded = FromWire(ToWire(limit, kNow), kNow);
+  REQUIRE(decoded);
+  CHECK(decoded->target == limit.target);
+  CHECK(decoded->born_ms == 7);
+  CHECK(decoded->rate == 2.5);
+  CHECK(decoded->stated_at == limit.stated_at);
+  const dispatch::TargetLimit end{TargetId("t"), 7, std::nullopt, kNow};
+  CHECK(FromWire(ToWire(end, kNow), kNow)->rate == std::nullopt);
+  PeerLimit impossible = ToWire(limit, kNow);
+  impossible.rate = std::numeric_limits<double>::infinity();
+  CHECK_FALSE(FromWire(impossible, kNow));
+  impossible.rate = -1;
+  CHECK_FALSE(FromWire(impossible, kNow));
+}
+
 TEST_CASE("a placement request survives encoding and decoding") {
   PlacementRequest request;
   request.shard = {ServiceId("llm"), DataCentreId("east"), 4, 3};
--- a/tests/front/peer_link_test.cc
+++ b/tests/front/peer_link_test.cc
@@ -125,6 +125,32 @@
   CHECK_FALSE(state.view.MayServe(*state.view.Find(entry.id)));
 }
 
+TEST_CASE("a target's limit that a peer tells is known, and so is its end") {
+  LinkFixture link;
+  State& state = link.state();
+  const TargetId target("t");
+  dispatch::TargetEntry entry;
+  entry.id = target;
+  entry.born_ms = 7;
+  state.view.Apply({1, dispatch::TargetChange{entry}}, BootNow());
+  PeerMessage message = NewMessage(1);
+  message.limits = {{"t", 7, true, 2.5, 300}, {"unknown", 9, true, 1, 0}};
+  link.Send(message, {});
+  const dispatch::TargetLimit* limit = state.limits.Find(target, 7);
+  REQUIRE(limit != nullptr);
+  CHECK(limit->rate == 2.5);
+  CHECK(state.limits.Find(TargetId("unknown"), 9) == nullptr);
+  // Of an earlier response, told late.
+  message = NewMessage(2);
+  message.limits = {{"t", 7, false, 0, 5000}};
+  link.Send(message, {});
+  CHECK(state.limits.Find(target, 7) != nullptr);
+  message = NewMessage(3);
+  message.limits = {{"t", 7, false, 0, 0}};
+  link.Send(message, {});
+  CHECK(state.limits.Find(target, 7) == nullptr);
+}
+
 TEST_CASE("out-of-order messages are ignored") {
   LinkFixture link;
   link.Send(9, 1, 2);
