Retry budget: a window of nothing in the settings doesn't divide by zero

Found on reading the change: the setting may be 0, and credit would have become not a number, so that no retry was refused or none allowed. The test fails without the guard's value: nothing bounds what is held.

--- a/packages/dispatch/src/budgets.cc
+++ b/packages/dispatch/src/budgets.cc
@@ -11,6 +11,8 @@
 // Part of an instance's share of the retry allowance that it may hold as
 // credit; the rest is earned over a window.
 constexpr double kHeldFraction = 0.6;
+// A window of nothing in the settings must not divide by zero.
+constexpr absl::Duration kMinWindow = absl::Milliseconds(1);
 
 }  // namespace
 
@@ -51,7 +53,7 @@
                          absl::Time now)
     : ratio_(ratio),
       fleet_allowance_(fleet_allowance),
-      window_(window),
+      window_(std::max(window, kMinWindow)),
       credit_(initial == InitialCredit::kFull ? fleet_allowance : 0, now) {}
 
 double RetryBudget::Remaining(absl::Time now, int instances) {
--- a/tests/dispatch/budgets_test.cc
+++ b/tests/dispatch/budgets_test.cc
@@ -78,6 +78,13 @@
   CHECK(TakeAll(&budget, kStart, 1) == 18);
 }
 
+TEST_CASE("a retry budget without a window still bounds what is held") {
+  RetryBudget budget(0.2, 100, absl::ZeroDuration(),
+                     RetryBudget::InitialCredit::kFull, kStart);
+  CHECK(TakeAll(&budget, kStart, 1) == 54);
+  CHECK(TakeAll(&budget, kStart, 1) == 0);
+}
+
 TEST_CASE("a restarted instance begins without retries") {
   RetryBudget budget(0.2, 100, kWindow, RetryBudget::InitialCredit::kNone,
                      kStart);
