Refusals for another instance's turn name the interval of the limit's turns

An instance that has no share in a limited target told its callers to come back after a second, whatever the limit; it now names the mean time between the turns of the fleet.

--- a/packages/dispatch/include/umbertrail/dispatch/target_limits.h
+++ b/packages/dispatch/include/umbertrail/dispatch/target_limits.h
@@ -30,6 +30,10 @@
   absl::Time stated_at;
 };
 
+// Mean time between two requests that all instances together send to a limited
+// target.
+absl::Duration TurnInterval(const TargetLimit& limit);
+
 // Number of senders of a limited target in a fleet in which each instance
 // places its own requests. The longer no response has come, the more there are,
 // as the present senders may have no requests.
--- a/packages/dispatch/src/target_limits.cc
+++ b/packages/dispatch/src/target_limits.cc
@@ -39,6 +39,10 @@
 
 }  // namespace
 
+absl::Duration TurnInterval(const TargetLimit& limit) {
+  return absl::Seconds(1 / UsedRate(limit));
+}
+
 int SenderCount(double rate, int instances, absl::Duration since_stated) {
   // A huge rate must not overflow the count.
   const double by_rate = std::min<double>(kSendersPerRate * rate, instances);
@@ -110,8 +114,8 @@
   if (missing <= 0) {
     return absl::ZeroDuration();
   }
-  return std::max(kMinWait, absl::Seconds(missing * std::max(senders, 1) /
-                                          UsedRate(limit)));
+  return std::max(kMinWait,
+                  TurnInterval(limit) * missing * std::max(senders, 1));
 }
 
 bool TargetLimits::Take(const TargetLimit& limit, int senders, absl::Time now) {
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -14,8 +14,6 @@
 
 // Lifetime of the cached homes.
 constexpr absl::Duration kHomesCacheTime = absl::Milliseconds(100);
-// When a caller may find a limited target's turn at another instance.
-constexpr absl::Duration kOthersTurn = absl::Seconds(1);
 // Homes per shard, each of which allots its share of a target's rate.
 constexpr int kHomesSharingRate = 2;
 
@@ -266,7 +264,8 @@
     return absl::ZeroDuration();
   }
   const int sharers = SharersOfLimit(target, *limit, now);
-  return sharers == 0 ? kOthersTurn : limits.TimeToSend(*limit, sharers, now);
+  return sharers == 0 ? dispatch::TurnInterval(*limit)
+                      : limits.TimeToSend(*limit, sharers, now);
 }
 
 bool State::ChargeLimit(const dispatch::TargetEntry& target, absl::Time now) {
--- a/tests/dispatch/target_limit_fleet_test.cc
+++ b/tests/dispatch/target_limit_fleet_test.cc
@@ -171,6 +171,13 @@
   CHECK(fleet.Run(true) <= Bound(rate));
 }
 
+TEST_CASE("the interval between the fleet's turns follows the rate") {
+  CHECK(absl::ToDoubleSeconds(TurnInterval({kTarget, kBorn, 2.0, kStart})) ==
+        Approx(1 / 1.8));
+  // A target that takes nothing is asked now and then.
+  CHECK(TurnInterval({kTarget, kBorn, 0.0, kStart}) == absl::Seconds(10));
+}
+
 TEST_CASE("a target of which nothing is heard gets more senders") {
   const int first = SenderCount(1, 16, absl::ZeroDuration());
   CHECK(SenderCount(1, 16, absl::Seconds(10)) == first + 1);
