While the fleet's size is unknown: one retry in hand, cold targets as before

Cause: after a kill of all instances nobody knows the fleet's size for 30 s, and the allowances were then divided by 8,192: hardly a retry, and each target got one request a second from each instance, as the rate of cold targets binds warm ones too.

Change: without the size, requests alone earn retries and one is held; the rate of cold targets is divided by what is known, as before this work, eight at least.

--- a/packages/dispatch/include/umbertrail/dispatch/budgets.h
+++ b/packages/dispatch/include/umbertrail/dispatch/budgets.h
@@ -2,6 +2,7 @@
 #define UMBERTRAIL_DISPATCH_BUDGETS_H_
 
 #include <deque>
+#include <optional>
 
 #include "absl/time/time.h"
 
@@ -55,18 +56,19 @@
   enum class InitialCredit { kNone, kFull };
 
   // `fleet_allowance` retries per `window` are shared by the `instances` given
-  // with each call.
+  // with each call. While their number is unknown, requests alone earn credit,
+  // and no more than one retry is held.
   RetryBudget(double ratio,
               double fleet_allowance,
               absl::Duration window,
               InitialCredit initial,
               absl::Time now);
 
-  void NoteRequest(absl::Time now, int instances);
+  void NoteRequest(absl::Time now, std::optional<int> instances);
   // Consumes one retry; false if the budget is exhausted.
-  bool Take(absl::Time now, int instances);
+  bool Take(absl::Time now, std::optional<int> instances);
   // Retries left; a fraction counts towards a later one.
-  double Remaining(absl::Time now, int instances);
+  double Remaining(absl::Time now, std::optional<int> instances);
 
  private:
   double ratio_;
--- a/packages/dispatch/include/umbertrail/dispatch/fleet_size.h
+++ b/packages/dispatch/include/umbertrail/dispatch/fleet_size.h
@@ -16,8 +16,8 @@
 
 // Number of instances among which the fleet's budgets are divided, as far as
 // this instance knows. A restarted instance doesn't trust its own count, as it
-// may be cut off from the others: until an older instance tells it the size it
-// divides by the largest possible number.
+// may be cut off from the others: until an older instance tells it, the size is
+// unknown.
 class FleetSize {
  public:
   // No fleet has more instances.
@@ -41,7 +41,10 @@
   void Merge(const FleetSizeReport& report, absl::Time now);
   // What to tell other instances; nothing while the size is unknown.
   std::optional<FleetSizeReport> Report(absl::Time now) const;
-  int Divisor(absl::Time now) const;
+  // Nothing while the size is unknown.
+  std::optional<int> Divisor(absl::Time now) const;
+  // The fleet has at least so many, or counts as if it had.
+  int Minimum() const;
 
  private:
   bool IsKnown(absl::Time now) const;
--- a/packages/dispatch/src/budgets.cc
+++ b/packages/dispatch/src/budgets.cc
@@ -11,6 +11,9 @@
 // Part of an instance's share of the retry allowance that it may hold as
 // credit; the rest is earned over a window.
 constexpr double kHeldFraction = 0.6;
+// Retries held by an instance that doesn't know how many share the allowance.
+// Deployments allow more than one for each instance.
+constexpr double kHeldInUnknownFleet = 1;
 // A window of nothing in the settings must not divide by zero.
 constexpr absl::Duration kMinWindow = absl::Milliseconds(1);
 
@@ -56,21 +59,22 @@
       window_(std::max(window, kMinWindow)),
       credit_(initial == InitialCredit::kFull ? fleet_allowance : 0, now) {}
 
-double RetryBudget::Remaining(absl::Time now, int instances) {
+double RetryBudget::Remaining(absl::Time now, std::optional<int> instances) {
   const double share =
-      kUsedFraction * fleet_allowance_ / std::max(instances, 1);
+      instances ? kUsedFraction * fleet_allowance_ / std::max(*instances, 1)
+                : 0;
   credit_.Fill(now,
                (1 - kHeldFraction) * share / absl::ToDoubleSeconds(window_),
-               kHeldFraction * share);
+               instances ? kHeldFraction * share : kHeldInUnknownFleet);
   return credit_.tokens();
 }
 
-void RetryBudget::NoteRequest(absl::Time now, int instances) {
+void RetryBudget::NoteRequest(absl::Time now, std::optional<int> instances) {
   Remaining(now, instances);
   credit_.Add(kUsedFraction * ratio_);
 }
 
-bool RetryBudget::Take(absl::Time now, int instances) {
+bool RetryBudget::Take(absl::Time now, std::optional<int> instances) {
   Remaining(now, instances);
   return credit_.Take();
 }
--- a/packages/dispatch/src/fleet_size.cc
+++ b/packages/dispatch/src/fleet_size.cc
@@ -54,8 +54,15 @@
   return FleetSizeReport{recent_, now - recent_at_};
 }
 
-int FleetSize::Divisor(absl::Time now) const {
-  return IsKnown(now) ? std::max(largest_, kMinDivisor) : kMaxInstances;
+std::optional<int> FleetSize::Divisor(absl::Time now) const {
+  if (!IsKnown(now)) {
+    return std::nullopt;
+  }
+  return Minimum();
+}
+
+int FleetSize::Minimum() const {
+  return std::max(largest_, kMinDivisor);
 }
 
 }  // namespace umbertrail::dispatch
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -117,7 +117,7 @@
   std::vector<dispatch::Candidate> candidates;
   const double fleet_rate = FleetRateOf(shard.service);
   const int sharers = dispatch::AllInstancesAreHomes(live_instances)
-                          ? fleet_size.Divisor(now)
+                          ? fleet_size.Minimum()
                           : kHomesSharingRate;
   for (const auto& [id, entry] : view.targets()) {
     if (!shard.Holds(entry) || !view.MayServe(entry) ||
@@ -172,7 +172,7 @@
                       const RequestId& request,
                       absl::Time now) {
   dispatch::RetryBudget& budget = RetryBudgetOf(service, now);
-  const int instances = fleet_size.Divisor(now);
+  const std::optional<int> instances = fleet_size.Divisor(now);
   const bool granted = budget.Take(now, instances);
   metrics.CountRetry(granted);
   log.Write(EventLog::Level::kNormal, "retry",
@@ -180,7 +180,7 @@
              {"service", service.text()},
              {"granted", granted},
              {"left", budget.Remaining(now, instances)},
-             {"instances", static_cast<int64_t>(instances)}},
+             {"instances", static_cast<int64_t>(instances.value_or(0))}},
             now);
   return granted;
 }
--- a/tests/dispatch/budgets_test.cc
+++ b/tests/dispatch/budgets_test.cc
@@ -91,6 +91,19 @@
   CHECK(TakeAll(&budget, kStart, 1) == 0);
 }
 
+TEST_CASE(
+    "in a fleet of unknown size an instance retries one request at a time") {
+  RetryBudget budget(0.2, 100, kWindow, RetryBudget::InitialCredit::kNone,
+                     kStart);
+  const absl::Time later = kStart + kWindow;
+  CHECK_FALSE(budget.Take(later, std::nullopt));
+  for (int i = 0; i < 100; ++i) {
+    budget.NoteRequest(later, std::nullopt);
+  }
+  CHECK(budget.Take(later, std::nullopt));
+  CHECK_FALSE(budget.Take(later, std::nullopt));
+}
+
 TEST_CASE("an instance's credit shrinks when the fleet turns out larger") {
   RetryBudget budget(0.2, 100, kWindow, RetryBudget::InitialCredit::kFull,
                      kStart);
--- a/tests/dispatch/fleet_size_test.cc
+++ b/tests/dispatch/fleet_size_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 const absl::Time kStart = absl::FromUnixSeconds(1000);
-constexpr int kUnknown = FleetSize::kMaxInstances;
+constexpr auto kUnknown = std::nullopt;
 
 TEST_CASE("at the first start an instance trusts its count of others") {
   FleetSize size(FleetSize::Start::kWithFleet, kStart);
@@ -25,6 +25,7 @@
   FleetSize size(FleetSize::Start::kLater, kStart);
   size.NoteLive(12, kStart);
   CHECK(size.Divisor(kStart) == kUnknown);
+  CHECK(size.Minimum() == 12);
   CHECK_FALSE(size.Report(kStart));
   size.Merge({59, absl::Seconds(2)}, kStart);
   CHECK(size.Divisor(kStart) == 59);
@@ -54,7 +55,7 @@
 TEST_CASE("impossible sizes are ignored") {
   FleetSize size(FleetSize::Start::kLater, kStart);
   size.Merge({0, absl::ZeroDuration()}, kStart);
-  size.Merge({kUnknown + 1, absl::ZeroDuration()}, kStart);
+  size.Merge({FleetSize::kMaxInstances + 1, absl::ZeroDuration()}, kStart);
   size.Merge({59, absl::Minutes(11)}, kStart);
   size.Merge({59, -absl::Seconds(1)}, kStart);
   CHECK(size.Divisor(kStart) == kUnknown);
