Log the parts of a failed request's prompt, and targets found down

The logs could not show what broken requests have in common, nor whether an instance took a target that closed its connections for crashed, or learned it from another instance: the three hypotheses looked alike.

attempt_failed names the fingerprints of all parts but the last; target_down and crash_reported say what an instance believes of a target. No decision changes.

--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -191,6 +191,8 @@
                                       TargetId(report.target)};
     if (state_.poison.RecordCrash(crash, now)) {
       pending_crashes_.push_back({crash, now + kDisseminationTime});
+      state_.log.Write(EventLog::Level::kNormal, "crash_reported",
+                       {{"target", crash.target.text()}}, now);
     }
   }
   for (const PeerDeparture& report : message.departures) {
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/string_view.h"
 #include "umbertrail/front/relay.h"
 
@@ -271,13 +273,18 @@
 
 void Relay::LogFailedAttempt(absl::string_view how, int status, bool sent) {
   const absl::Time now = BootNow();
+  const std::string parts =
+      absl::StrJoin(facts_.shared_parts, ",", [](std::string* out, auto part) {
+        absl::StrAppend(out, absl::Hex(part.value()));
+      });
   state_.log.Write(EventLog::Level::kImportant, "attempt_failed",
                    {{"request", facts_.id.text()},
                     {"target", target_.text()},
                     {"how", how},
                     {"status", static_cast<int64_t>(status)},
                     {"after_ms", absl::ToInt64Milliseconds(now - sent_at_)},
-                    {"sent", sent}},
+                    {"sent", sent},
+                    {"parts", absl::string_view(parts)}},
                    now);
 }
 
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -206,6 +206,10 @@
 
 void State::RecordTargetDown(const TargetId& target, absl::Time now) {
   const auto crashes = poison.RecordTargetDown(target, now);
+  log.Write(EventLog::Level::kNormal, "target_down",
+            {{"target", target.text()},
+             {"broken_requests", static_cast<int64_t>(crashes.size())}},
+            now);
   if (!crashes.empty() && publish_crashes) {
     publish_crashes(crashes);
   }
--- a/tests/adapter/request_codec_test.cc
+++ b/tests/adapter/request_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "umbertrail/base/hash.h"
+
 namespace umbertrail::adapter {
 namespace {
 
@@ -13,7 +15,8 @@
   head.headers.Add("X-Attempt-Id", "9c41");
   head.headers.Add("X-Model", "m");
   head.headers.Add("X-Token-Counts", "1460,80");
-  head.headers.Add("X-Prompt-Prefix", "5c1e07a2:800");
+  head.headers.Add("X-Prompt-Prefix",
+                   "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
   head.headers.Add("X-Deadline-Ms", "10000");
   head.headers.Add("Authorization", "Token k1");
   return head;
@@ -32,6 +35,10 @@
   CHECK(metadata.host == "a.example");
   CHECK(metadata.time_left == absl::Seconds(10));
   CHECK(metadata.prompt == Tokens(1460));
+  // The last part belongs to this request alone.
+  REQUIRE(metadata.shared_parts.size() == 2);
+  CHECK(metadata.shared_parts[0] == Fingerprint(StableHash("5c1e07a2")));
+  CHECK(metadata.shared_parts[1] == Fingerprint(StableHash("91bd3f06")));
   REQUIRE(metadata.key);
   CHECK(*metadata.key == "k1");
 }
@@ -43,6 +50,7 @@
   const RequestMetadata metadata = MetadataOf(head);
   CHECK(metadata.time_left == absl::InfiniteDuration());
   CHECK(metadata.prompt == Tokens(0));
+  CHECK(metadata.shared_parts.empty());
   CHECK_FALSE(metadata.key);
 }
 
@@ -79,7 +87,8 @@
   CHECK(head.method == "POST");
   CHECK(head.target == "/x/2f?q=1");
   CHECK(value("X-Attempt-Id") == "9c41");
-  CHECK(value("X-Prompt-Prefix") == "5c1e07a2:800");
+  CHECK(value("X-Prompt-Prefix") ==
+        "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
   CHECK(value("X-Tenant") == "club");
   CHECK(value("X-Expect-Instance") == "i-7f");
   CHECK(value("X-Deadline-Ms") == "9876");
