--- a/tests/adapter/request_codec_test.cc
+++ b/tests/adapter/request_codec_test.cc
@@ -87,8 +87,7 @@
   CHECK(head.method == "POST");
   CHECK(head.target == "/x/2f?q=1");
   CHECK(value("X-Attempt-Id") == "9c41");
-  CHECK(value("X-Prompt-Prefix") ==
-        "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+  CHECK(value("X-Prompt-Prefix") == "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
   CHECK(value("X-Tenant") == "club");
   CHECK(value("X-Expect-Instance") == "i-7f");
   CHECK(value("X-Deadline-Ms") == "9876");
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -133,16 +133,18 @@
   acceptor_ = std::thread([this] { Accept(); });
 }
 
+void FakeServer::Crash() {
+  absl::MutexLock lock(&mutex_);
+  stopping_ = true;
+  ::shutdown(listener_, SHUT_RDWR);
+  for (const int it : open_) {
+    ::shutdown(it, SHUT_RDWR);
+  }
+}
+
 FakeServer::~FakeServer() {
   std::vector<std::thread> threads;
-  {
-    absl::MutexLock lock(&mutex_);
-    stopping_ = true;
-    ::shutdown(listener_, SHUT_RDWR);
-    for (const int it : open_) {
-      ::shutdown(it, SHUT_RDWR);
-    }
-  }
+  Crash();
   acceptor_.join();
   {
     absl::MutexLock lock(&mutex_);
--- a/tests/http/fake_server.h
+++ b/tests/http/fake_server.h
@@ -66,6 +66,10 @@
   FakeServer(const FakeServer&) = delete;
   FakeServer& operator=(const FakeServer&) = delete;
 
+  // Closes all connections and refuses new ones, as a process that ended; may
+  // be called from the script.
+  void Crash();
+
   std::string address() const;
   int connections() const;
 
