Block parts of prompts that crash targets, by evidence of the whole fleet

Callers saw targets die one after the other: every request with a certain part in its prompt crashed the target that began to write on it, with all that ran there.

Cause: a limit of the fleet on something that the code didn't know. The register of crashes compared whole requests, and no two of these are alike; parts of prompts were not read. Besides, a crash counted only once the same instance failed to connect to the target within 4 s, which happened seconds later or not at all.

Change: an instance connects at once to a target that broke a request; if that is refused, and another target responds, it tells the others which requests and parts the target had in hand. All weigh these reports alike (CrashEvidence): content that most crashes have in common is blocked, crashes that it explains don't count against bystanders, complete answers clear what they hold. Evidence stays with the fleet and in its gossip, so restarted instances are told.

--- /dev/null
+++ b/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
@@ -0,0 +1,116 @@
+#ifndef UMBERTRAIL_DISPATCH_CRASH_EVIDENCE_H_
+#define UMBERTRAIL_DISPATCH_CRASH_EVIDENCE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "umbertrail/base.h"
+
+// Finds out which content of requests crashes targets, from what crashed
+// targets had in hand and from requests that were answered.
+
+namespace umbertrail::dispatch {
+
+// What a request holds that may crash a target: the request as a whole, and the
+// parts of its prompt that other requests may hold too.
+struct RequestContents {
+  Fingerprint whole;
+  std::vector<Fingerprint> parts;
+};
+
+// A target's incarnation that crashed, and the contents of requests that it
+// broke off. Reports of different instances about one crash are united.
+struct TargetCrash {
+  TargetId target;
+  int64_t born_ms = 0;
+  absl::Time at;
+  std::set<Fingerprint> wholes;
+  std::set<Fingerprint> parts;
+};
+
+// A request that held this content was last answered completely at `at`.
+struct AnsweredContent {
+  Fingerprint content;
+  absl::Time at;
+};
+
+// The crashes and answers of the whole fleet, as far as known here. Content is
+// blocked when enough crashed targets had it in hand and none answered a
+// request that holds it. A crash that blocked content explains doesn't count
+// against other content: the other requests in hand were bystanders. Contents
+// that occur in the same crashes can't be told apart; then requests are blocked
+// that hold all of them.
+class CrashEvidence {
+ public:
+  // Crashes before a request with the same whole content is blocked.
+  static constexpr int kMinCrashesOfRequest = 2;
+  // Crashes before a part of prompts is blocked. Bystanders share parts, so
+  // that fewer are no sufficient evidence.
+  static constexpr int kMinCrashesOfPart = 3;
+  // Retention of crashes that block nothing.
+  static constexpr absl::Duration kCrashRetention = absl::Seconds(60);
+  // Content stays blocked for this long after the last known crash.
+  static constexpr absl::Duration kBlockRetention = absl::Hours(1);
+  // An answer speaks for its content in crashes until this long after it.
+  static constexpr absl::Duration kAnswerValidity = absl::Seconds(10);
+
+  // Contents that are blocked where a request holds all of them.
+  struct Block {
+    std::set<Fingerprint> contents;
+    absl::Time last_crash;
+  };
+
+  // Adds what is known of a crash; true if any of it is new and the crash isn't
+  // explained by blocked content.
+  bool Merge(const TargetCrash& crash, absl::Time now);
+  // A target answered a request completely.
+  void RecordAnswer(const RequestContents& contents, absl::Time now);
+  void MergeAnswer(const AnsweredContent& answer);
+  void RemoveExpired(absl::Time now);
+
+  // The block that applies to a request; null if none does.
+  const Block* FindBlock(const RequestContents& contents);
+  const std::vector<Block>& blocks();
+  // What other instances need to come to the same conclusions: crashes that
+  // block content, before others that are recent, and the answers that clear
+  // further contents of these crashes.
+  struct Report {
+    std::vector<TargetCrash> crashes;
+    std::vector<AnsweredContent> answers;
+  };
+  Report ToTell(absl::Time now);
+
+ private:
+  using CrashKey = std::pair<TargetId, int64_t>;
+  struct Occurrences;
+  using OccurrencesByContent = absl::flat_hash_map<Fingerprint, Occurrences>;
+
+  // True if an answer speaks for the content in a crash at that time.
+  bool IsCleared(Fingerprint content, absl::Time crash_at) const;
+  bool IsExplained(const TargetCrash& crash) const;
+  void Evaluate();
+  OccurrencesByContent CountOccurrences(
+      const std::vector<const TargetCrash*>& crashes) const;
+  std::vector<CrashKey> KeepSupports(std::vector<const TargetCrash*> supports);
+  void LimitCrashes();
+
+  std::map<CrashKey, TargetCrash> crashes_;
+  // Crashes that blocked content explains and that aren't needed to block it.
+  std::map<CrashKey, absl::Time> explained_;
+  // Crashes that support a block.
+  std::set<CrashKey> supports_;
+  absl::flat_hash_map<Fingerprint, absl::Time> answered_;
+  // Contents of known crashes that are not cleared.
+  std::set<Fingerprint> suspected_;
+  std::vector<Block> blocks_;
+  bool is_evaluated_ = true;
+};
+
+}  // namespace umbertrail::dispatch
+
+#endif  // UMBERTRAIL_DISPATCH_CRASH_EVIDENCE_H_
--- /dev/null
+++ b/packages/dispatch/src/crash_evidence.cc
@@ -0,0 +1,324 @@
+#include "umbertrail/dispatch/crash_evidence.h"
+
+#include <algorithm>
+#include <bitset>
+#include <iterator>
+#include <tuple>
+
+namespace umbertrail::dispatch {
+namespace {
+
+// Crashes kept as the evidence of one block.
+constexpr size_t kMaxSupports = 16;
+// Known crashes, without those that are explained.
+constexpr size_t kMaxCrashes = 64;
+// Contents kept of one crash, wholes and parts each.
+constexpr size_t kMaxContents = 48;
+// Contents whose answers are remembered.
+constexpr size_t kMaxAnswered = 16384;
+// Crashes that block nothing are told to others for this long, which reaches
+// everyone.
+constexpr absl::Duration kToldFor = absl::Seconds(5);
+// With this many crashes, contents that occur in all but one of them count as
+// occurring in all: the report of one may be lost.
+constexpr int kMinCrashesWithSlack = 4;
+
+using CrashSet = std::bitset<kMaxCrashes>;
+
+bool HoldsAll(const RequestContents& request,
+              const std::set<Fingerprint>& contents) {
+  return std::all_of(contents.begin(), contents.end(), [&](Fingerprint it) {
+    return it == request.whole ||
+           std::find(request.parts.begin(), request.parts.end(), it) !=
+               request.parts.end();
+  });
+}
+
+// Adds what is missing, up to the limit; true if anything was.
+bool Unite(const std::set<Fingerprint>& from, std::set<Fingerprint>* to) {
+  const size_t before = to->size();
+  for (const Fingerprint content : from) {
+    if (to->size() < kMaxContents) {
+      to->insert(content);
+    }
+  }
+  return to->size() > before;
+}
+
+}  // namespace
+
+// In which crashes a content occurs.
+struct CrashEvidence::Occurrences {
+  CrashSet crashes;
+  bool is_whole = false;
+
+  // Number among `remaining` crashes; 0 if too few to block the content.
+  int Count(const CrashSet& remaining) const {
+    const int count = static_cast<int>((crashes & remaining).count());
+    return count >= (is_whole ? kMinCrashesOfRequest : kMinCrashesOfPart)
+               ? count
+               : 0;
+  }
+};
+
+bool CrashEvidence::Merge(const TargetCrash& crash, absl::Time now) {
+  const CrashKey key(crash.target, crash.born_ms);
+  if (explained_.count(key) > 0 || now - crash.at >= kBlockRetention) {
+    return false;
+  }
+  const bool is_supported = supports_.count(key) > 0;
+  if (!is_supported && IsExplained(crash)) {
+    explained_[key] = now;
+    crashes_.erase(key);
+    for (Block& block : blocks_) {
+      block.last_crash = std::max(block.last_crash, crash.at);
+    }
+    is_evaluated_ = false;
+    return false;
+  }
+  const auto [it, is_new] = crashes_.try_emplace(key, crash);
+  TargetCrash& known = it->second;
+  if (is_new) {
+    known.wholes.clear();
+    known.parts.clear();
+  }
+  known.at = std::min(known.at, crash.at);
+  const bool more_wholes = Unite(crash.wholes, &known.wholes);
+  const bool more_parts = Unite(crash.parts, &known.parts);
+  if (!more_wholes && !more_parts) {
+    return false;
+  }
+  LimitCrashes();
+  is_evaluated_ = false;
+  return true;
+}
+
+void CrashEvidence::LimitCrashes() {
+  while (crashes_.size() > kMaxCrashes) {
+    auto oldest = crashes_.end();
+    for (auto it = crashes_.begin(); it != crashes_.end(); ++it) {
+      if (supports_.count(it->first) == 0 &&
+          (oldest == crashes_.end() || it->second.at < oldest->second.at)) {
+        oldest = it;
+      }
+    }
+    crashes_.erase(oldest == crashes_.end() ? crashes_.begin() : oldest);
+  }
+}
+
+void CrashEvidence::RecordAnswer(const RequestContents& contents,
+                                 absl::Time now) {
+  MergeAnswer({contents.whole, now});
+  for (const Fingerprint part : contents.parts) {
+    MergeAnswer({part, now});
+  }
+}
+
+void CrashEvidence::MergeAnswer(const AnsweredContent& answer) {
+  if (answered_.size() >= kMaxAnswered &&
+      answered_.count(answer.content) == 0) {
+    return;
+  }
+  absl::Time& at =
+      answered_.try_emplace(answer.content, absl::InfinitePast()).first->second;
+  at = std::max(at, answer.at);
+  if (suspected_.count(answer.content) > 0) {
+    is_evaluated_ = false;
+  }
+}
+
+void CrashEvidence::RemoveExpired(absl::Time now) {
+  Evaluate();
+  const size_t crashes_before = crashes_.size();
+  for (auto it = crashes_.begin(); it != crashes_.end();) {
+    const absl::Duration retention =
+        supports_.count(it->first) > 0 ? kBlockRetention : kCrashRetention;
+    it = now - it->second.at >= retention ? crashes_.erase(it) : std::next(it);
+  }
+  for (auto it = explained_.begin(); it != explained_.end();) {
+    it = now - it->second >= kCrashRetention ? explained_.erase(it)
+                                             : std::next(it);
+  }
+  std::set<Fingerprint> known;
+  for (const auto& [key, crash] : crashes_) {
+    known.insert(crash.wholes.begin(), crash.wholes.end());
+    known.insert(crash.parts.begin(), crash.parts.end());
+  }
+  absl::erase_if(answered_, [&](const auto& answer) {
+    return now - answer.second >= kAnswerValidity &&
+           known.count(answer.first) == 0;
+  });
+  is_evaluated_ = crashes_.size() == crashes_before;
+}
+
+bool CrashEvidence::IsCleared(Fingerprint content, absl::Time crash_at) const {
+  const auto found = answered_.find(content);
+  return found != answered_.end() &&
+         found->second >= crash_at - kAnswerValidity;
+}
+
+bool CrashEvidence::IsExplained(const TargetCrash& crash) const {
+  return std::any_of(blocks_.begin(), blocks_.end(), [&](const Block& block) {
+    return std::all_of(block.contents.begin(), block.contents.end(),
+                       [&](Fingerprint content) {
+                         return crash.parts.count(content) > 0 ||
+                                crash.wholes.count(content) > 0;
+                       });
+  });
+}
+
+CrashEvidence::OccurrencesByContent CrashEvidence::CountOccurrences(
+    const std::vector<const TargetCrash*>& crashes) const {
+  OccurrencesByContent occurrences;
+  for (size_t i = 0; i < crashes.size(); ++i) {
+    for (const auto* contents : {&crashes[i]->wholes, &crashes[i]->parts}) {
+      for (const Fingerprint content : *contents) {
+        if (!IsCleared(content, crashes[i]->at)) {
+          Occurrences& seen = occurrences[content];
+          seen.crashes.set(i);
+          seen.is_whole = contents == &crashes[i]->wholes;
+        }
+      }
+    }
+  }
+  return occurrences;
+}
+
+void CrashEvidence::Evaluate() {
+  if (is_evaluated_) {
+    return;
+  }
+  is_evaluated_ = true;
+  std::vector<const TargetCrash*> crashes;
+  for (const auto& [key, crash] : crashes_) {
+    crashes.push_back(&crash);
+  }
+  OccurrencesByContent occurrences = CountOccurrences(crashes);
+  suspected_.clear();
+  for (const auto& [content, seen] : occurrences) {
+    suspected_.insert(content);
+  }
+  // Most contents occur in one crash and matter no further.
+  absl::erase_if(occurrences, [](const auto& entry) {
+    return entry.second.crashes.count() < 2;
+  });
+  supports_.clear();
+  std::vector<Block> blocks;
+  std::vector<CrashKey> surplus;
+  CrashSet remaining;
+  remaining.set();
+  while (true) {
+    // The content that explains most of the remaining crashes. Of equals, a
+    // request as a whole comes first: its parts may be harmless elsewhere.
+    const auto rank = [&](const auto& entry) {
+      return std::make_tuple(entry.second.Count(remaining),
+                             entry.second.is_whole, entry.first);
+    };
+    const auto top = std::max_element(
+        occurrences.begin(), occurrences.end(),
+        [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    if (top == occurrences.end() || top->second.Count(remaining) == 0) {
+      break;
+    }
+    const CrashSet explained = top->second.crashes & remaining;
+    const size_t count = explained.count();
+    const size_t slack = count >= kMinCrashesWithSlack ? 1 : 0;
+    Block block{{top->first}, absl::InfinitePast()};
+    for (const auto& [content, seen] : occurrences) {
+      if (!top->second.is_whole && !seen.is_whole &&
+          (seen.crashes & explained).count() + slack >= count) {
+        block.contents.insert(content);
+      }
+    }
+    std::vector<const TargetCrash*> supports;
+    for (size_t i = 0; i < crashes.size(); ++i) {
+      if (explained.test(i)) {
+        supports.push_back(crashes[i]);
+        block.last_crash = std::max(block.last_crash, crashes[i]->at);
+      }
+    }
+    for (const Block& before : blocks_) {
+      if (before.contents == block.contents) {
+        block.last_crash = std::max(block.last_crash, before.last_crash);
+      }
+    }
+    blocks.push_back(std::move(block));
+    for (CrashKey& key : KeepSupports(std::move(supports))) {
+      surplus.push_back(std::move(key));
+    }
+    remaining &= ~explained;
+  }
+  blocks_ = std::move(blocks);
+  for (const CrashKey& key : surplus) {
+    explained_[key] = crashes_[key].at;
+    crashes_.erase(key);
+  }
+}
+
+// Keeps the earliest crashes as evidence of a block and returns the others.
+std::vector<CrashEvidence::CrashKey> CrashEvidence::KeepSupports(
+    std::vector<const TargetCrash*> supports) {
+  std::sort(supports.begin(), supports.end(),
+            [](const TargetCrash* a, const TargetCrash* b) {
+              return std::tie(a->at, a->target) < std::tie(b->at, b->target);
+            });
+  std::vector<CrashKey> surplus;
+  for (size_t i = 0; i < supports.size(); ++i) {
+    const CrashKey key(supports[i]->target, supports[i]->born_ms);
+    if (i < kMaxSupports) {
+      supports_.insert(key);
+    } else {
+      surplus.push_back(key);
+    }
+  }
+  return surplus;
+}
+
+const CrashEvidence::Block* CrashEvidence::FindBlock(
+    const RequestContents& contents) {
+  Evaluate();
+  const auto found = std::find_if(
+      blocks_.begin(), blocks_.end(),
+      [&](const Block& block) { return HoldsAll(contents, block.contents); });
+  return found == blocks_.end() ? nullptr : &*found;
+}
+
+const std::vector<CrashEvidence::Block>& CrashEvidence::blocks() {
+  Evaluate();
+  return blocks_;
+}
+
+CrashEvidence::Report CrashEvidence::ToTell(absl::Time now) {
+  Evaluate();
+  Report report;
+  std::set<Fingerprint> cleared;
+  for (const auto& [key, crash] : crashes_) {
+    if (supports_.count(key) == 0 && now - crash.at >= kToldFor) {
+      continue;
+    }
+    TargetCrash told = crash;
+    for (auto* contents : {&told.wholes, &told.parts}) {
+      for (auto it = contents->begin(); it != contents->end();) {
+        if (IsCleared(*it, crash.at)) {
+          cleared.insert(*it);
+          it = contents->erase(it);
+        } else {
+          ++it;
+        }
+      }
+    }
+    if (!told.wholes.empty() || !told.parts.empty()) {
+      report.crashes.push_back(std::move(told));
+    }
+  }
+  std::stable_partition(report.crashes.begin(), report.crashes.end(),
+                        [&](const TargetCrash& it) {
+                          return supports_.count({it.target, it.born_ms}) > 0;
+                        });
+  for (const Fingerprint content : cleared) {
+    report.answers.push_back({content, answered_.find(content)->second});
+  }
+  return report;
+}
+
+}  // namespace umbertrail::dispatch
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
-#include "umbertrail/dispatch/poison.h"
 #include "umbertrail/front/placer.h"
 #include "umbertrail/front/state.h"
 
@@ -34,7 +33,8 @@
   void Stop();
   // Schedules one load report that batches the changes made until it is sent.
   void ScheduleFlush();
-  void PublishCrashes(const std::vector<dispatch::TargetCrash>& crashes);
+  // Tells others at once which crashes are known.
+  void PublishCrashes();
   // Announces that the target with birth time `born_ms` is leaving.
   // Tells others, above all the target's homes, that its limit changed.
   void PublishLimit(const TargetId& target);
@@ -54,11 +54,6 @@
     int64_t sent_ms = 0;
     absl::Time received;
   };
-  // A crash that is disseminated until `until`.
-  struct PendingCrash {
-    dispatch::TargetCrash crash;
-    absl::Time until;
-  };
   // A target's announced departure, disseminated until `until`.
   struct PendingDeparture {
     TargetId target;
@@ -77,6 +72,8 @@
                        const InstanceId& from,
                        absl::Time now);
   void ApplyTargetEvents(const PeerMessage& message, absl::Time now);
+  void ApplyCrashes(const PeerMessage& message, absl::Time now);
+  void ForwardCrashes();
   // Confirms the local view by the peer's last reading of the store.
   void ApplyStoreReading(const PeerTrailer& trailer);
   void Reply(const PeerMessage& message, const InstanceId& from);
@@ -90,6 +87,8 @@
   std::vector<InstanceId> ChooseGossipPartners(absl::Time now);
   PeerMessage NewMessage();
   void AddGossip(PeerMessage* message, absl::Time now);
+  // Adds crashes of targets, and answers that clear contents of suspicion.
+  void AddCrashes(PeerMessage* message, absl::Time now);
   // Adds what targets stated of their rate limits.
   void AddLimits(PeerMessage* message, absl::Time now);
   void SendGossip(absl::Time now);
@@ -104,11 +103,12 @@
   boost::asio::ip::udp::socket socket_;
   net::Timer heartbeat_;
   net::Timer flush_;
+  net::Timer forward_;
   bool flush_armed_ = false;
+  bool forward_armed_ = false;
   uint64_t sequence_ = 0;
   std::map<InstanceId, Peer> peers_;
   std::vector<InstanceId> seeds_;
-  std::vector<PendingCrash> pending_crashes_;
   std::vector<PendingDeparture> pending_departures_;
   std::array<char, 65536> buffer_;
   boost::asio::ip::udp::endpoint from_;
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -44,6 +44,8 @@
 
   bool Admit();
   void PlaceAndSend();
+  // Refuses the request if its content crashes targets.
+  bool RefuseIfBlocked(absl::Time now);
   // The properties of this request that placement depends on.
   dispatch::RequestProfile ProfileAt(absl::Time now) const;
   // Requests a placement among the targets not tried yet. `callback` runs
@@ -105,7 +107,9 @@
   ClientAccountId account_;
   const dispatch::Service* service_ = nullptr;
   ServiceId service_id_;
-  Fingerprint content_;
+  dispatch::RequestContents contents_;
+  // May be sent once although its content is blocked.
+  bool is_trial_ = false;
   absl::Time started_;
   // Start of the wait for a first event: the request's arrival, or the failure
   // of a stream that had started.
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -5,19 +5,21 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "platform/node_settings.h"
 #include "umbertrail/dispatch/budgets.h"
+#include "umbertrail/dispatch/crash_detector.h"
+#include "umbertrail/dispatch/crash_evidence.h"
 #include "umbertrail/dispatch/fleet_size.h"
 #include "umbertrail/dispatch/fleet_view.h"
 #include "umbertrail/dispatch/freshness.h"
 #include "umbertrail/dispatch/load_board.h"
 #include "umbertrail/dispatch/members.h"
 #include "umbertrail/dispatch/placement.h"
-#include "umbertrail/dispatch/poison.h"
 #include "umbertrail/dispatch/shards.h"
 #include "umbertrail/dispatch/target_health.h"
 #include "umbertrail/dispatch/target_limits.h"
@@ -85,8 +87,26 @@
   void RecordFirstEvent(const TargetId& target,
                         absl::Duration predicted,
                         absl::Duration actual);
-  // A target is unreachable or has restarted.
-  void RecordTargetDown(const TargetId& target, absl::Time now);
+  // A target began to respond.
+  void RecordResponse(const TargetId& target, absl::Time now);
+  // A target closed its connection within a request: finds out whether it
+  // crashed.
+  void RecordBrokenConnection(const TargetId& target,
+                              int64_t born_ms,
+                              const dispatch::RequestContents& contents,
+                              absl::Time now);
+  // A target can't be connected to.
+  void RecordUnreachable(const TargetId& target, absl::Time now);
+  // The store shows that the target has restarted or is gone.
+  void RecordRestart(const TargetId& target, absl::Time now);
+  // Adds another instance's report of a crash; true if any of it is new.
+  bool MergeCrash(const dispatch::TargetCrash& crash, absl::Time now);
+  // Logs contents that have become blocked.
+  void LogNewBlocks(absl::Time now);
+  // Whether requests with these contents must not be sent. Now and then one
+  // instance may try such a request, lest harmless content stays blocked.
+  bool IsBlocked(const dispatch::RequestContents& contents, absl::Time now);
+  bool TakeTrial(const dispatch::RequestContents& contents, absl::Time now);
   // Stops sending requests to a target that announced its departure, if it was
   // born at or before `born_ms`. True when this was not known.
   bool MarkLeaving(const TargetId& target, int64_t born_ms, absl::Time now);
@@ -123,7 +143,8 @@
   Metrics metrics;
   dispatch::FleetView view;
   dispatch::LoadBoard board;
-  dispatch::PoisonRegister poison;
+  dispatch::CrashDetector crash_detector;
+  dispatch::CrashEvidence crash_evidence;
   dispatch::Members members;
   TargetPool pool;
   std::map<TargetId, dispatch::TargetHealth> health;
@@ -141,8 +162,7 @@
   // Set once all parts of the instance are constructed.
   std::shared_ptr<Placer> placer;
   // Disseminates crashes detected locally.
-  std::function<void(const std::vector<dispatch::TargetCrash>&)>
-      publish_crashes;
+  std::function<void()> publish_crashes;
   // Disseminates departures announced to this instance.
   std::function<void(const TargetId& target, int64_t born_ms)>
       publish_departure;
@@ -160,6 +180,14 @@
                      const dispatch::TargetLimit& limit,
                      absl::Time now);
 
+  void CheckReachable(const TargetId& target);
+  void ReportCrashes(absl::Time now);
+
+  // Targets to which a connection is opened to see whether they are up.
+  std::set<TargetId> targets_checked_;
+  // Blocked contents, and since when this instance knows.
+  std::map<std::set<Fingerprint>, absl::Time> blocked_since_;
+  absl::Time next_trial_ = absl::InfinitePast();
   std::map<TargetId, absl::Time> backoff_until_;
   dispatch::ShardTable shards_;
   uint64_t sharded_changes_ = 0;
--- a/packages/front/include/umbertrail/front/target_pool.h
+++ b/packages/front/include/umbertrail/front/target_pool.h
@@ -13,6 +13,11 @@
 // Pool of idle connections to targets.
 class TargetPool {
  public:
+  // A live machine accepts a connection within this, even across data centres.
+  static constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+  // A live target acknowledges sent bytes within this.
+  static constexpr absl::Duration kAckTimeout = absl::Seconds(3);
+
   explicit TargetPool(net::Loop& loop) : loop_(loop) {}
 
   // Returns an idle connection for one call to the target, or a new one that is
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -82,10 +82,7 @@
   store_ = std::make_shared<StoreReader>(state_, [this] { OnViewChange(); });
   peers_ =
       std::make_shared<PeerLink>(state_, [this] { store_->OnPeerAhead(); });
-  state_.publish_crashes =
-      [this](const std::vector<dispatch::TargetCrash>& crashes) {
-        peers_->PublishCrashes(crashes);
-      };
+  state_.publish_crashes = [this] { peers_->PublishCrashes(); };
   state_.publish_departure = [this](const TargetId& target, int64_t born_ms) {
     peers_->PublishDeparture(target, born_ms);
   };
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -37,6 +37,23 @@
   return ids;
 }
 
+std::vector<uint64_t> ToNumbers(const std::set<Fingerprint>& fingerprints) {
+  std::vector<uint64_t> numbers;
+  numbers.reserve(fingerprints.size());
+  for (const Fingerprint fingerprint : fingerprints) {
+    numbers.push_back(fingerprint.value());
+  }
+  return numbers;
+}
+
+std::set<Fingerprint> ToFingerprints(const std::vector<uint64_t>& numbers) {
+  std::set<Fingerprint> fingerprints;
+  for (const uint64_t number : numbers) {
+    fingerprints.insert(Fingerprint(number));
+  }
+  return fingerprints;
+}
+
 }  // namespace
 
 PeerWork ToWire(const dispatch::WorkItem& item, absl::Time now) {
@@ -140,6 +157,25 @@
       absl::Milliseconds(message.fleet_size_age_ms)};
 }
 
+PeerCrash ToWire(const dispatch::TargetCrash& crash, absl::Time now) {
+  return {crash.target.text(), crash.born_ms, ToMillis(now - crash.at),
+          ToNumbers(crash.wholes), ToNumbers(crash.parts)};
+}
+
+dispatch::TargetCrash FromWire(const PeerCrash& wire, absl::Time now) {
+  return {TargetId(wire.target), wire.born_ms,
+          now - absl::Milliseconds(wire.age_ms), ToFingerprints(wire.wholes),
+          ToFingerprints(wire.parts)};
+}
+
+PeerAnswer ToWire(const dispatch::AnsweredContent& answer, absl::Time now) {
+  return {answer.content.value(), ToMillis(now - answer.at)};
+}
+
+dispatch::AnsweredContent FromWire(const PeerAnswer& wire, absl::Time now) {
+  return {Fingerprint(wire.content), now - absl::Milliseconds(wire.age_ms)};
+}
+
 PeerLimit ToWire(const dispatch::TargetLimit& limit, absl::Time now) {
   return {limit.target.text(), limit.born_ms, limit.rate.has_value(),
           limit.rate.value_or(0), ToMillis(now - limit.stated_at)};
--- a/packages/front/src/peer_codec.h
+++ b/packages/front/src/peer_codec.h
@@ -32,6 +32,10 @@
 std::optional<dispatch::FleetSizeReport> DecodeFleetSize(
     const PeerMessage& message);
 
+PeerCrash ToWire(const dispatch::TargetCrash& crash, absl::Time now);
+dispatch::TargetCrash FromWire(const PeerCrash& wire, absl::Time now);
+PeerAnswer ToWire(const dispatch::AnsweredContent& answer, absl::Time now);
+dispatch::AnsweredContent FromWire(const PeerAnswer& wire, absl::Time now);
 PeerLimit ToWire(const dispatch::TargetLimit& limit, absl::Time now);
 // Nothing if the rate is impossible.
 std::optional<dispatch::TargetLimit> FromWire(const PeerLimit& wire,
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -24,11 +24,14 @@
 constexpr absl::Duration kMaxFlushDelay = absl::Milliseconds(2);
 // Members per message in a fleet where all instances gossip with each other.
 constexpr size_t kMembersInSmallFleet = 8;
-// Crashes and departures are disseminated for this long, which reaches
-// everyone.
+// Departures are disseminated for this long, which reaches everyone.
 constexpr absl::Duration kDisseminationTime = absl::Seconds(3);
 // Maximum crashes, and likewise departures, per message.
 constexpr size_t kMaxDisseminated = 32;
+// Maximum contents of crashes, and likewise of answers, per message.
+constexpr size_t kMaxContents = 512;
+// Crashes that arrive within this time are forwarded together.
+constexpr absl::Duration kForwardDelay = absl::Milliseconds(100);
 // Maximum number of tracked senders.
 constexpr size_t kMaxPeers = dispatch::FleetSize::kMaxInstances;
 
@@ -43,7 +46,8 @@
       on_peer_ahead_(std::move(on_peer_ahead)),
       socket_(state.loop),
       heartbeat_(state.loop),
-      flush_(state.loop) {
+      flush_(state.loop),
+      forward_(state.loop) {
   for (const std::string& seed : state_.settings.seeds) {
     const std::string host = HostOf(seed);
     if (host != state_.settings.ip) {
@@ -135,6 +139,7 @@
     MergeMembers(message, id, now);
     ApplyLoadReport(message, id, now);
     ApplyTargetEvents(message, now);
+    ApplyCrashes(message, now);
   }
   if (message.leaving) {
     return;
@@ -186,15 +191,6 @@
 }
 
 void PeerLink::ApplyTargetEvents(const PeerMessage& message, absl::Time now) {
-  for (const PeerCrash& report : message.crashes) {
-    const dispatch::TargetCrash crash{Fingerprint(report.content),
-                                      TargetId(report.target)};
-    if (state_.poison.RecordCrash(crash, now)) {
-      pending_crashes_.push_back({crash, now + kDisseminationTime});
-      state_.log.Write(EventLog::Level::kNormal, "crash_reported",
-                       {{"target", crash.target.text()}}, now);
-    }
-  }
   for (const PeerDeparture& report : message.departures) {
     const TargetId target(report.target);
     if (state_.MarkLeaving(target, report.born_ms, now)) {
@@ -221,6 +217,30 @@
   }
 }
 
+void PeerLink::ApplyCrashes(const PeerMessage& message, absl::Time now) {
+  for (const PeerAnswer& answer : message.answers) {
+    state_.crash_evidence.MergeAnswer(FromWire(answer, now));
+  }
+  bool news = false;
+  for (const PeerCrash& report : message.crashes) {
+    news = state_.MergeCrash(FromWire(report, now), now) || news;
+  }
+  if (news) {
+    state_.LogNewBlocks(now);
+  }
+  // In small fleets whoever detects a crash tells everyone.
+  if (news && !dispatch::AllInstancesAreHomes(state_.live_instances) &&
+      !forward_armed_) {
+    forward_armed_ = true;
+    forward_.Set(kForwardDelay, shared_from_this(), &PeerLink::ForwardCrashes);
+  }
+}
+
+void PeerLink::ForwardCrashes() {
+  forward_armed_ = false;
+  SendGossip(BootNow());
+}
+
 void PeerLink::ApplyStoreReading(const PeerTrailer& trailer) {
   if (trailer.echo_ms == 0) {
     return;
@@ -277,21 +297,35 @@
                     state_.random),
                 now, message);
   EncodeFleetSize(state_.fleet_size.Report(now), message);
-  for (const PendingCrash& pending : pending_crashes_) {
-    if (message->crashes.size() < kMaxDisseminated) {
-      message->crashes.push_back(
-          {pending.crash.content.value(), pending.crash.target.text()});
-    }
-  }
   for (const PendingDeparture& departure : pending_departures_) {
     if (message->departures.size() < kMaxDisseminated) {
       message->departures.push_back(
           {departure.target.text(), departure.born_ms});
     }
   }
+  AddCrashes(message, now);
   AddLimits(message, now);
 }
 
+void PeerLink::AddCrashes(PeerMessage* message, absl::Time now) {
+  const dispatch::CrashEvidence::Report report =
+      state_.crash_evidence.ToTell(now);
+  size_t contents = 0;
+  for (const dispatch::TargetCrash& crash : report.crashes) {
+    contents += crash.wholes.size() + crash.parts.size();
+    if (message->crashes.size() == kMaxDisseminated ||
+        contents > kMaxContents) {
+      break;
+    }
+    message->crashes.push_back(ToWire(crash, now));
+  }
+  for (const dispatch::AnsweredContent& answer : report.answers) {
+    if (message->answers.size() < kMaxContents) {
+      message->answers.push_back(ToWire(answer, now));
+    }
+  }
+}
+
 void PeerLink::AddLimits(PeerMessage* message, absl::Time now) {
   const std::vector<dispatch::TargetLimit> limits = state_.limits.ToTell(now);
   std::vector<dispatch::TargetLimit> chosen;
@@ -411,10 +445,7 @@
     return state_.view.Find(target) == nullptr;
   });
   state_.CountInstances(now);
-  pending_crashes_.erase(
-      std::remove_if(pending_crashes_.begin(), pending_crashes_.end(),
-                     [&](const PendingCrash& r) { return now >= r.until; }),
-      pending_crashes_.end());
+  state_.crash_evidence.RemoveExpired(now);
   pending_departures_.erase(
       std::remove_if(pending_departures_.begin(), pending_departures_.end(),
                      [&](const PendingDeparture& d) { return now >= d.until; }),
@@ -468,13 +499,8 @@
   state_.unreported_outcomes.clear();
 }
 
-void PeerLink::PublishCrashes(
-    const std::vector<dispatch::TargetCrash>& crashes) {
-  const absl::Time now = BootNow();
-  for (const dispatch::TargetCrash& crash : crashes) {
-    pending_crashes_.push_back({crash, now + kDisseminationTime});
-  }
-  SendGossip(now);
+void PeerLink::PublishCrashes() {
+  SendGossip(BootNow());
 }
 
 void PeerLink::PublishDeparture(const TargetId& target, int64_t born_ms) {
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace umbertrail::front {
 
-inline constexpr uint32_t kPeerMessageVersion = 5;
+inline constexpr uint32_t kPeerMessageVersion = 6;
 
 // A work item at a target.
 struct PeerWork {
@@ -44,11 +44,22 @@
   MSGPACK_DEFINE_ARRAY(target, work);
 };
 
-// A target that went down while it ran a request with this fingerprint.
+// A target's incarnation that crashed, with the fingerprints of requests that
+// it had in hand and of the parts of their prompts.
 struct PeerCrash {
-  uint64_t content = 0;
   std::string target;
-  MSGPACK_DEFINE_ARRAY(content, target);
+  int64_t born_ms = 0;
+  uint32_t age_ms = 0;
+  std::vector<uint64_t> wholes;
+  std::vector<uint64_t> parts;
+  MSGPACK_DEFINE_ARRAY(target, born_ms, age_ms, wholes, parts);
+};
+
+// When a target last answered a request with this content completely.
+struct PeerAnswer {
+  uint64_t content = 0;
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(content, age_ms);
 };
 
 // A member of the fleet as known to the sender.
@@ -184,6 +195,7 @@
   std::vector<PeerMember> members;
   std::vector<PeerTarget> targets;
   std::vector<PeerCrash> crashes;
+  std::vector<PeerAnswer> answers;
   std::vector<PeerDeparture> departures;
   std::vector<PeerLimit> limits;
   std::vector<PeerOutcome> outcomes;
@@ -203,6 +215,7 @@
                        members,
                        targets,
                        crashes,
+                       answers,
                        departures,
                        limits,
                        outcomes,
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -14,10 +14,6 @@
 
 using dispatch::Refusal;
 
-// A live machine accepts a connection within this, even across data centres.
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
-// A live target acknowledges sent bytes within this.
-constexpr absl::Duration kAckTimeout = absl::Seconds(3);
 // No attempt is started with less time left than this.
 constexpr absl::Duration kMinAttemptTime = absl::Milliseconds(30);
 // Most helpers excluded before a failed reservation refuses the request.
@@ -62,9 +58,10 @@
   if (!Admit()) {
     return;
   }
-  content_ = Fingerprint(
+  contents_.whole = Fingerprint(
       StableHash(client_->request().target,
                  StableHash(account_.text(), StableHash(*client_->body()))));
+  contents_.parts = facts_.shared_parts;
   const absl::Duration kept = std::min(facts_.time_left, route_->timeout);
   deadline_ = started_ + kept;
   deadline_alarm_.Set(kept, shared_from_this(), &Relay::OnDeadline);
@@ -103,15 +100,24 @@
 }
 
 void Relay::PlaceAndSend() {
-  const absl::Time now = BootNow();
-  if (state_.poison.IsPoison(content_, now)) {
-    Refuse(Refusal::kPoison, dispatch::PoisonRegister::kCrashRetention);
+  if (RefuseIfBlocked(BootNow())) {
     return;
   }
   RequestPlacement(
       [](Relay& relay, const PlacementReply& reply) { relay.OnPlaced(reply); });
 }
 
+bool Relay::RefuseIfBlocked(absl::Time now) {
+  if (!state_.IsBlocked(contents_, now)) {
+    return false;
+  }
+  is_trial_ = attempts_ == 0 && (is_trial_ || state_.TakeTrial(contents_, now));
+  if (!is_trial_) {
+    Refuse(Refusal::kPoison, dispatch::CrashEvidence::kBlockRetention);
+  }
+  return !is_trial_;
+}
+
 void Relay::OnPlaced(const PlacementReply& reply) {
   candidate_count_ = reply.candidate_count;
   earliest_first_event_ = reply.result.min_time_to_first_event;
@@ -278,6 +284,9 @@
     Refuse(Refusal::kNoTarget, absl::Milliseconds(200));
     return;
   }
+  if (RefuseIfBlocked(now)) {
+    return;
+  }
   if (!placed.charged_to_limit && !state_.ChargeLimit(*entry, now)) {
     // The target stated a limit during placement or reservation.
     if (reservation_) {
@@ -326,10 +335,10 @@
        {"expected_ms", absl::ToInt64Milliseconds(predicted_first_event_)}},
       now);
   connection_ = state_.pool.Acquire(target_, *endpoint);
-  connection_->Call(*endpoint, kConnectTimeout, kAckTimeout,
-                    net::WriteRequestHead(head, client_->body()->size()),
-                    client_->body(), client_->request().method == "HEAD",
-                    weak_from_this());
+  connection_->Call(
+      *endpoint, TargetPool::kConnectTimeout, TargetPool::kAckTimeout,
+      net::WriteRequestHead(head, client_->body()->size()), client_->body(),
+      client_->request().method == "HEAD", weak_from_this());
   if (is_stream()) {
     first_event_alarm_.Set(
         dispatch::RerouteTimeout(predicted_first_event_, route_->aim,
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -31,6 +31,7 @@
   const adapter::ResponseMetadata facts =
       adapter::ReadResponse(head, facts_.id);
   not_executed_ = facts.not_run;
+  state_.RecordResponse(target_, BootNow());
   RecordTargetStatus(facts);
   if (!facts.failed_address.empty()) {
     ExcludeHelper(facts.failed_address);
@@ -222,6 +223,12 @@
   } else {
     state_.RecordSuccess(target_, now);
   }
+  if (response_head_.ends_with_connection) {
+    // A crash would look the same.
+    state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
+  } else if (response_head_.status / 100 == 2) {
+    state_.crash_evidence.RecordAnswer(contents_, now);
+  }
   if (response_mode_ == ResponseMode::kStream) {
     const std::string rest = framer_.TakeRemainder();
     StartResponseOnce();
@@ -252,9 +259,7 @@
   if (!sent) {
     --attempts_;
     ++connect_failures_;
-    state_.health[target_].RecordUnreachable(now);
-    state_.pool.CloseIdle(target_);
-    state_.RecordTargetDown(target_, now);
+    state_.RecordUnreachable(target_, now);
     tried_targets_.push_back(target_);
     if (connect_failures_ < kMaxConnectFailures && HasTimeForAttempt(now)) {
       PlaceAndSend();
@@ -266,7 +271,7 @@
   may_have_run_ = true;
   state_.RecordFailure(target_, now);
   if (failure != net::CallFailure::kUnreadable) {
-    state_.poison.RecordBrokenConnection({content_, target_}, now);
+    state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
   }
   RetryOrRefuse(Refusal::kTargetFailed);
 }
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -8,12 +8,19 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/string_view.h"
+#include "umbertrail/base/hash.h"
 
 namespace umbertrail::front {
 namespace {
 
 // Lifetime of the cached homes.
 constexpr absl::Duration kHomesCacheTime = absl::Milliseconds(100);
+// Requests with blocked content are tried this long after it was blocked, and
+// again at this interval.
+constexpr absl::Duration kTrialDelay = absl::Seconds(5);
+constexpr absl::Duration kTrialInterval = absl::Minutes(20);
 // Homes per shard, each of which allots its share of a target's rate.
 constexpr int kHomesSharingRate = 2;
 
@@ -204,15 +211,127 @@
       health[target].RecordFirstEvent(predicted, actual);
 }
 
-void State::RecordTargetDown(const TargetId& target, absl::Time now) {
-  const auto crashes = poison.RecordTargetDown(target, now);
-  log.Write(EventLog::Level::kNormal, "target_down",
-            {{"target", target.text()},
-             {"broken_requests", static_cast<int64_t>(crashes.size())}},
-            now);
-  if (!crashes.empty() && publish_crashes) {
-    publish_crashes(crashes);
+void State::RecordResponse(const TargetId& target, absl::Time now) {
+  crash_detector.RecordResponse(target, now);
+  ReportCrashes(now);
+}
+
+void State::RecordBrokenConnection(const TargetId& target,
+                                   int64_t born_ms,
+                                   const dispatch::RequestContents& contents,
+                                   absl::Time now) {
+  crash_detector.RecordBrokenConnection(target, born_ms, contents, now);
+  CheckReachable(target);
+}
+
+void State::CheckReachable(const TargetId& target) {
+  const dispatch::TargetEntry* entry = view.Find(target);
+  const auto endpoint =
+      entry == nullptr ? std::nullopt : net::ParseEndpoint(entry->address);
+  if (!endpoint || !targets_checked_.insert(target).second) {
+    return;
+  }
+  const auto connection = std::make_shared<net::ClientConnection>(loop);
+  connection->Open(*endpoint, TargetPool::kConnectTimeout,
+                   TargetPool::kAckTimeout,
+                   [this, target, connection](bool connected) {
+                     targets_checked_.erase(target);
+                     if (connected) {
+                       pool.Release(target, connection);
+                     } else {
+                       RecordUnreachable(target, BootNow());
+                     }
+                   });
+}
+
+void State::RecordUnreachable(const TargetId& target, absl::Time now) {
+  health[target].RecordUnreachable(now);
+  pool.CloseIdle(target);
+  crash_detector.RecordUnreachable(target, now);
+  ReportCrashes(now);
+}
+
+void State::RecordRestart(const TargetId& target, absl::Time now) {
+  pool.CloseIdle(target);
+  health.erase(target);
+  crash_detector.RecordRestart(target, now);
+  ReportCrashes(now);
+}
+
+void State::ReportCrashes(absl::Time now) {
+  bool news = false;
+  for (const dispatch::TargetCrash& crash : crash_detector.TakeCrashes(now)) {
+    log.Write(EventLog::Level::kImportant, "target_crashed",
+              {{"target", crash.target.text()},
+               {"born_ms", crash.born_ms},
+               {"requests", static_cast<int64_t>(crash.wholes.size())},
+               {"parts", static_cast<int64_t>(crash.parts.size())}},
+              now);
+    news = MergeCrash(crash, now) || news;
+  }
+  if (news && publish_crashes) {
+    LogNewBlocks(now);
+    publish_crashes();
+  }
+}
+
+bool State::MergeCrash(const dispatch::TargetCrash& crash, absl::Time now) {
+  return crash_evidence.Merge(crash, now);
+}
+
+void State::LogNewBlocks(absl::Time now) {
+  std::map<std::set<Fingerprint>, absl::Time> blocked;
+  for (const auto& block : crash_evidence.blocks()) {
+    const auto known = blocked_since_.find(block.contents);
+    if (known != blocked_since_.end()) {
+      blocked.insert(*known);
+      continue;
+    }
+    blocked[block.contents] = now;
+    const std::string contents = absl::StrJoin(
+        block.contents, ",", [](std::string* out, Fingerprint content) {
+          absl::StrAppend(out, absl::Hex(content.value()));
+        });
+    log.Write(EventLog::Level::kImportant, "content_blocked",
+              {{"contents", absl::string_view(contents)},
+               {"last_crash_ms_ago",
+                absl::ToInt64Milliseconds(now - block.last_crash)}},
+              now);
+  }
+  blocked_since_ = std::move(blocked);
+}
+
+bool State::IsBlocked(const dispatch::RequestContents& contents,
+                      absl::Time now) {
+  const bool blocked = crash_evidence.FindBlock(contents) != nullptr;
+  if (blocked) {
+    LogNewBlocks(now);
+  }
+  return blocked;
+}
+
+bool State::TakeTrial(const dispatch::RequestContents& contents,
+                      absl::Time now) {
+  const auto* block = crash_evidence.FindBlock(contents);
+  if (block == nullptr || now < next_trial_) {
+    return false;
   }
+  const auto since = blocked_since_.find(block->contents);
+  if (since == blocked_since_.end() || now - since->second < kTrialDelay) {
+    return false;
+  }
+  // One instance tries for all.
+  const auto rank = [&](const InstanceId& instance) {
+    return StableHash(instance.text(), block->contents.begin()->value());
+  };
+  const uint64_t own = rank(InstanceId(settings.ip));
+  for (const dispatch::Member* member : members.Live(now)) {
+    if (rank(member->id) < own) {
+      return false;
+    }
+  }
+  next_trial_ = now + kTrialInterval;
+  return true;
 }
 
 bool State::MarkLeaving(const TargetId& target,
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -359,9 +359,7 @@
   if (!restarted || state_.view.Find(id) == nullptr) {
     return;
   }
-  state_.RecordTargetDown(id, now);
-  state_.pool.CloseIdle(id);
-  state_.health.erase(id);
+  state_.RecordRestart(id, now);
   state_.log.Write(EventLog::Level::kNormal, "target_ended",
                    {{"target", id.text()}}, now);
 }
--- a/packages/logbook/src/cause.cc
+++ b/packages/logbook/src/cause.cc
@@ -190,7 +190,7 @@
     return absl::StrCat("it timed out: ", WaitedFor(report));
   }
   if (why == "poison") {
-    return "two targets failed while running the same content";
+    return "targets crashed on the same request, or on a part of its prompt";
   }
   if (why == "bad_request") {
     return "its head is not a valid request of the platform";
--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -2,6 +2,7 @@
 #define UMBERTRAIL_NET_CLIENT_H_
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -56,6 +57,13 @@
             bool response_has_no_body,
             std::weak_ptr<ResponseListener> listener);
 
+  // Connects without a request; afterwards the connection can take one.
+  // `done` runs once, with whether that succeeded.
+  void Open(const Endpoint& endpoint,
+            absl::Duration connect_timeout,
+            absl::Duration peer_timeout,
+            std::function<void(bool connected)> done);
+
   // While paused, no more bytes of the response are read.
   void SetReadingPaused(bool paused);
   // Closes the connection without notifying the listener.
@@ -70,7 +78,11 @@
  private:
   enum class State { kNew, kConnecting, kCalling, kIdle, kClosed };
 
+  void Connect(const Endpoint& endpoint,
+               absl::Duration connect_timeout,
+               absl::Duration peer_timeout);
   void OnConnected();
+  void BecomeIdle();
   void OnConnectTimeout();
   void Send();
   void ReadMore();
@@ -92,6 +104,8 @@
   std::shared_ptr<const std::string> body_;
   bool response_has_no_body_ = false;
   std::weak_ptr<ResponseListener> listener_;
+  // Set while the connection is opened without a request.
+  std::function<void(bool connected)> on_opened_;
   struct Reader;
   std::unique_ptr<Reader> reader_;
   std::array<char, 8192> read_buffer_;
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -1,5 +1,7 @@
 #include "umbertrail/net/client.h"
 
+#include <utility>
+
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
@@ -88,6 +90,21 @@
     ReadMore();
     return;
   }
+  Connect(endpoint, connect_timeout, peer_timeout);
+}
+
+void ClientConnection::Open(const Endpoint& endpoint,
+                            absl::Duration connect_timeout,
+                            absl::Duration peer_timeout,
+                            std::function<void(bool connected)> done) {
+  on_opened_ = std::move(done);
+  idle_limit_ = kDefaultIdle;
+  Connect(endpoint, connect_timeout, peer_timeout);
+}
+
+void ClientConnection::Connect(const Endpoint& endpoint,
+                               absl::Duration connect_timeout,
+                               absl::Duration peer_timeout) {
   state_ = State::kConnecting;
   endpoint_ = endpoint;
   timer_.Set(connect_timeout, shared_from_this(),
@@ -112,11 +129,23 @@
 
 void ClientConnection::OnConnected() {
   timer_.Cancel();
+  if (const auto done = std::exchange(on_opened_, nullptr)) {
+    BecomeIdle();
+    done(true);
+    return;
+  }
   state_ = State::kCalling;
   Send();
   ReadMore();
 }
 
+void ClientConnection::BecomeIdle() {
+  state_ = State::kIdle;
+  reading_paused_ = false;
+  timer_.Set(idle_limit_, shared_from_this(), &ClientConnection::Close);
+  ReadMore();  // Detects that the peer closes.
+}
+
 void ClientConnection::Send() {
   sent_ = true;
   if (body_ != nullptr && !body_->empty()) {
@@ -236,10 +265,7 @@
   auto listener = listener_.lock();
   listener_.reset();
   if (usable) {
-    state_ = State::kIdle;
-    reading_paused_ = false;
-    timer_.Set(idle_limit_, shared_from_this(), &ClientConnection::Close);
-    ReadMore();  // Detects that the peer closes.
+    BecomeIdle();
   } else {
     Close();
   }
@@ -261,10 +287,14 @@
 
 void ClientConnection::Fail(CallFailure failure) {
   auto listener = listener_.lock();
+  const auto opened = std::exchange(on_opened_, nullptr);
   Close();
   if (listener) {
     listener->OnFailure(failure);
   }
+  if (opened) {
+    opened(false);
+  }
 }
 
 void ClientConnection::Close() {
@@ -273,6 +303,7 @@
   }
   state_ = State::kClosed;
   listener_.reset();
+  on_opened_ = nullptr;
   timer_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/tests/front/peer_message_test.cc
+++ b/tests/front/peer_message_test.cc
@@ -24,7 +24,8 @@
   message.placement_replies = {reply};
   message.outcomes = {{"t1", 3, 1, 2, 1.5F}};
   message.targets = {{"t1", {{1500, 3900, 1, 250, 2.5F, 4000}}}, {"t2", {}}};
-  message.crashes = {{9, "t3"}};
+  message.crashes = {{"t3", 7, 20, {9}, {10, 11}}};
+  message.answers = {{12, 30}};
   return message;
 }
 
@@ -49,6 +50,8 @@
   CHECK(message.targets[0].work.front().prefill_ms == 3900);
   CHECK(message.targets[1].work.empty());
   CHECK(message.crashes.front().target == "t3");
+  CHECK(message.crashes.front().parts == std::vector<uint64_t>{10, 11});
+  CHECK(message.answers.front().content == 12);
 }
 
 TEST_CASE("a datagram of another version or without a trailer is rejected") {
