A stream that ends inside an event is resumed or cut, never completed

Callers of a stream whose target ended inside an event got the incomplete event and a clean end: at the end of an answer the rest of the framer was sent and the answer finished as whole. Where an answer has neither length nor chunks and ends with its connection, each crash looks like that.

Such an end now counts as a broken connection: the stream is resumed at another target after its last complete event, or cut. A stream that states its length is complete with its last byte. The new test failed before in both of its framings: the half event was sent and the answer completed. A stream that ends with its connection between two events still can't be told from a complete one.

--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -143,6 +143,8 @@
   absl::Time sent_at_;
   absl::Duration predicted_first_event_;
   ResponseMode response_mode_ = ResponseMode::kUndecided;
+  // The target stated the length of its stream, and so where it ends.
+  bool has_stated_length_ = false;
   bool not_executed_ = false;
   net::ResponseHead response_head_;
   std::string buffered_body_;
--- a/packages/front/include/umbertrail/front/stream_framer.h
+++ b/packages/front/include/umbertrail/front/stream_framer.h
@@ -18,6 +18,8 @@
   std::string TakeCompleteEvents();
   // Removes and returns the bytes after the last complete event.
   std::string TakeRemainder();
+  // True if a stream that ended now would end inside an event.
+  bool has_incomplete_event() const;
   // Id of the last event taken that had one; empty if none had.
   const std::string& last_event_id() const { return last_event_id_; }
 
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -53,6 +53,7 @@
   response_mode_ =
       is_stream() && success ? ResponseMode::kStream : ResponseMode::kForward;
   if (response_mode_ == ResponseMode::kStream) {
+    has_stated_length_ = response_head_.length.has_value();
     response_head_.length.reset();
   } else if (response_started_) {
     // An error response to a resumed stream must not be appended to it.
@@ -206,6 +207,14 @@
     return;
   }
   may_have_run_ = true;
+  if (response_mode_ == ResponseMode::kStream && !has_stated_length_ &&
+      framer_.has_incomplete_event()) {
+    LogFailedAttempt("ended_in_event", response_head_.status, true);
+    state_.RecordFailure(target_, now);
+    state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
+    RetryOrRefuse(Refusal::kTargetFailed);
+    return;
+  }
   if (response_mode_ == ResponseMode::kDiscard) {
     LogFailedAttempt("unusable", response_head_.status, true);
     state_.RecordFailure(target_, now);
--- a/packages/front/src/stream_framer.cc
+++ b/packages/front/src/stream_framer.cc
@@ -39,6 +39,10 @@
   return rest;
 }
 
+bool StreamFramer::has_incomplete_event() const {
+  return pending_.find_first_not_of("\r\n") != std::string::npos;
+}
+
 void StreamFramer::UpdateLastEventId(absl::string_view events) {
   while (!events.empty()) {
     const size_t end = events.find('\n');
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -236,6 +236,47 @@
   CHECK(HeaderOf(fleet.requests()[1], "Last-Event-Id") == "1");
 }
 
+TEST_CASE("a stream that ends inside an event is resumed, not completed") {
+  std::string framing;
+  std::string first_part;
+  SECTION("with its connection") {
+    framing = "Connection: close\r\n\r\n";
+    first_part = Event(1) + "id: 2\nda";
+  }
+  SECTION("with the last chunk") {
+    framing = "Transfer-Encoding: chunked\r\n\r\n";
+    first_part = Chunk(Event(1) + "id: 2\nda") + "0\r\n\r\n";
+  }
+  std::atomic<int> runs{0};
+  testing::RequestLog log;
+  StandInStore store;
+  store.Put("op/config", testing::SampleConfig(1));
+  const auto serve = [&](FakeConnection& connection) {
+    testing::ServeRequests(connection, [&](const std::string& request) {
+      log.Add(request);
+      if (runs++ == 0) {
+        connection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
+                                      framing, first_part));
+        return false;
+      }
+      connection.Write(StreamHead(request) + Chunk(Event(2)) + "0\r\n\r\n");
+      return true;
+    });
+  };
+  FakeServer first(serve);
+  FakeServer second(serve);
+  store.Put("servers/t0", testing::ServerEntry(first.address(), "ready"));
+  store.Put("servers/t1", testing::ServerEntry(second.address(), "ready"));
+  RunningFront front(testing::LoopbackSettings(store));
+  front.AwaitReady();
+  const std::string answer =
+      Ask(front.callers(), PlatformRequest("/stream/x", "id1", "k1"));
+  CHECK_THAT(answer,
+             Catch::EndsWith(Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n"));
+  REQUIRE(log.All().size() == 2);
+  CHECK(HeaderOf(log.All()[1], "Last-Event-Id") == "1");
+}
+
 TEST_CASE("a stream whose first event is overdue moves to another target") {
   std::atomic<int> runs{0};
   Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
--- a/tests/front/stream_framer_test.cc
+++ b/tests/front/stream_framer_test.cc
@@ -12,7 +12,9 @@
   framer.Add("\nid: 2\ndata: b\n\nid: 3\nda");
   CHECK(framer.TakeCompleteEvents() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   CHECK(framer.last_event_id() == "2");
+  CHECK(framer.has_incomplete_event());
   CHECK(framer.TakeRemainder() == "id: 3\nda");
+  CHECK_FALSE(framer.has_incomplete_event());
   CHECK(framer.TakeCompleteEvents().empty());
 }
 
