Instances without links to targets pass their requests on to others

Cause: an instance only ever sent to targets itself, and had no notion of its own links; every failure was put down to the target. Class: what one instance sees is taken for the state of the fleet.

Change: TargetLinks tells the loss of all links from failures of targets; such an instance passes requests on, over HTTP at the control address, to instances that say that they reach targets. These serve them as their own, and pass them on no further. A single request goes there after two failed connections too. What an instance without links saw of targets is forgotten and told to nobody.

--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -32,6 +32,8 @@
  private:
   std::optional<std::string> Listen();
   void OnRequest(std::shared_ptr<net::ServerConnection> client);
+  // Serves other instances: their requests, and readiness.
+  void OnControl(std::shared_ptr<net::ServerConnection> client);
   void OnReadiness(std::shared_ptr<net::ServerConnection> client);
   void OnMetrics(std::shared_ptr<net::ServerConnection> client);
   bool IsReady() const;
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,11 @@
   // Tells others, above all the target's homes, that its limit changed.
   void PublishLimit(const TargetId& target);
   void PublishDeparture(const TargetId& target, int64_t born_ms);
+  // An instance heard of late that reaches targets, by chance.
+  std::optional<InstanceId> ChooseStandIn(
+      const std::vector<InstanceId>& excluded);
+  // From now on others are told not to pass requests on to this instance.
+  void StopServingOthers() { serves_others_ = false; }
   // Sends a placement request to a home.
   void SendPlacementRequest(const InstanceId& home,
                             uint64_t id,
@@ -50,6 +56,7 @@
     // Random per process start; not ordered.
     uint64_t incarnation = 0;
     uint64_t last_sequence = 0;
+    bool reaches_targets = false;
     // Send time of its last message by its own clock, and local receive time.
     int64_t sent_ms = 0;
     absl::Time received;
@@ -104,6 +111,7 @@
   net::Timer heartbeat_;
   net::Timer flush_;
   net::Timer forward_;
+  bool serves_others_ = true;
   bool flush_armed_ = false;
   bool forward_armed_ = false;
   uint64_t sequence_ = 0;
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -25,7 +25,13 @@
               public net::ResponseListener,
               public std::enable_shared_from_this<Relay> {
  public:
-  Relay(State& state, std::shared_ptr<net::ServerConnection> client);
+  // Who sent the request: a client, or an instance without links to targets
+  // that passes it on.
+  enum class Origin { kClient, kInstance };
+
+  Relay(State& state,
+        std::shared_ptr<net::ServerConnection> client,
+        Origin origin);
 
   void Start();
 
@@ -44,6 +50,13 @@
 
   bool Admit();
   void PlaceAndSend();
+  // Passes the request on to an instance that reaches targets; false if it
+  // can't be. Such a request is not passed on again.
+  bool SendThroughPeer();
+  void OnPeerHead(const net::ResponseHead& head);
+  void OnPeerFailure(bool sent);
+  // Sends the rest of a complete response.
+  void CompleteResponse();
   // Refuses the request if its content crashes targets.
   bool RefuseIfBlocked(absl::Time now);
   // The properties of this request that placement depends on.
@@ -63,6 +76,8 @@
   // Reserves KV cache memory at the helper targets before sending.
   void ReserveAndSend(const dispatch::PlacementDecision& placed);
   void Send(const dispatch::PlacementDecision& placed);
+  // Resets what is known of the former attempt.
+  void BeginAttempt(absl::Time now);
   void RegisterWork(const dispatch::PlacementDecision& placed);
   void ReleaseTargetResources();
   // Retries at another target after a failed attempt, or refuses.
@@ -101,6 +116,7 @@
 
   State& state_;
   std::shared_ptr<net::ServerConnection> client_;
+  Origin origin_;
   adapter::RequestMetadata facts_;
   std::shared_ptr<const dispatch::FleetConfig> config_;
   const dispatch::Route* route_ = nullptr;
@@ -133,6 +149,10 @@
   // A target may have started executing the request.
   bool may_have_run_ = false;
   TargetId target_;
+  // The instance to which the request was passed on; empty if it was sent to a
+  // target.
+  InstanceId peer_;
+  std::vector<InstanceId> tried_peers_;
   // Distinguishes this incarnation of the target from later ones.
   int64_t target_born_ms_ = 0;
   std::shared_ptr<net::ClientConnection> connection_;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -23,6 +24,7 @@
 #include "umbertrail/dispatch/shards.h"
 #include "umbertrail/dispatch/target_health.h"
 #include "umbertrail/dispatch/target_limits.h"
+#include "umbertrail/dispatch/target_links.h"
 #include "umbertrail/front/event_log.h"
 #include "umbertrail/front/metrics.h"
 #include "umbertrail/front/target_pool.h"
@@ -87,6 +89,11 @@
   void RecordFirstEvent(const TargetId& target,
                         absl::Duration predicted,
                         absl::Duration actual);
+  // A target sent bytes or accepted a connection.
+  void RecordContact(absl::Time now);
+  // Opens connections to some targets to find out whether the links to them are
+  // lost, or back.
+  void CheckLinks(absl::Time now);
   // A target began to respond.
   void RecordResponse(const TargetId& target, absl::Time now);
   // A target closed its connection within a request: finds out whether it
@@ -147,6 +154,9 @@
   dispatch::CrashEvidence crash_evidence;
   dispatch::Members members;
   TargetPool pool;
+  // Connections to other instances, by address.
+  TargetPool peer_pool;
+  dispatch::TargetLinks links;
   std::map<TargetId, dispatch::TargetHealth> health;
   std::map<TargetId, dispatch::TargetRate> rates;
   dispatch::TargetLimits limits;
@@ -161,6 +171,11 @@
   dispatch::KnownStore known_store;
   // Set once all parts of the instance are constructed.
   std::shared_ptr<Placer> placer;
+  // An instance that reaches targets and can serve requests for this one; none
+  // if there is none beside `excluded`.
+  std::function<std::optional<InstanceId>(
+      const std::vector<InstanceId>& excluded)>
+      choose_stand_in;
   // Disseminates crashes detected locally.
   std::function<void()> publish_crashes;
   // Disseminates departures announced to this instance.
@@ -183,6 +198,7 @@
   void CheckReachable(const TargetId& target);
   void ReportCrashes(absl::Time now);
 
+  absl::Time links_lost_at_ = absl::InfinitePast();
   // Targets to which a connection is opened to see whether they are up.
   std::set<TargetId> targets_checked_;
   // Blocked contents, and since when this instance knows.
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -25,6 +25,8 @@
 // Part of the grace period left for responses in the socket buffers.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
 constexpr absl::Duration kStopCheckInterval = absl::Milliseconds(50);
+// Headers that another instance adds to a request.
+constexpr size_t kMaxAddedHeaderBytes = 1024;
 // Polling interval for changes of the settings file.
 constexpr absl::Duration kSettingsCheckInterval = absl::Seconds(2);
 
@@ -68,7 +70,7 @@
           [](int, const char*) {}),
       control_(
           loop_,
-          [this](auto client) { OnReadiness(std::move(client)); },
+          [this](auto client) { OnControl(std::move(client)); },
           [](int, const char*) {}),
       metrics_(
           loop_,
@@ -83,6 +85,9 @@
   peers_ =
       std::make_shared<PeerLink>(state_, [this] { store_->OnPeerAhead(); });
   state_.publish_crashes = [this] { peers_->PublishCrashes(); };
+  state_.choose_stand_in = [this](const std::vector<InstanceId>& excluded) {
+    return peers_->ChooseStandIn(excluded);
+  };
   state_.publish_departure = [this](const TargetId& target, int64_t born_ms) {
     peers_->PublishDeparture(target, born_ms);
   };
@@ -140,7 +145,17 @@
 }
 
 void Front::OnRequest(std::shared_ptr<net::ServerConnection> client) {
-  std::make_shared<Relay>(state_, std::move(client))->Start();
+  std::make_shared<Relay>(state_, std::move(client), Relay::Origin::kClient)
+      ->Start();
+}
+
+void Front::OnControl(std::shared_ptr<net::ServerConnection> client) {
+  if (adapter::IsReadinessProbe(client->request())) {
+    OnReadiness(std::move(client));
+  } else {
+    std::make_shared<Relay>(state_, std::move(client), Relay::Origin::kInstance)
+        ->Start();
+  }
 }
 
 void Front::OnReadiness(std::shared_ptr<net::ServerConnection> client) {
@@ -191,6 +206,10 @@
 void Front::OnViewChange() {
   if (state_.view.has_config()) {
     callers_.SetLimits(LimitsOf(state_.view.config().limits));
+    net::ServerLimits limits = callers_.limits();
+    // Another instance adds headers.
+    limits.max_header_bytes += kMaxAddedHeaderBytes;
+    control_.SetLimits(limits);
   }
 }
 
@@ -222,6 +241,8 @@
   stopping_ = true;
   stop_began_ = BootNow();
   callers_.StartDraining();
+  control_.StartDraining();
+  peers_->StopServingOthers();
   state_.log.Write(EventLog::Level::kImportant, "stop_begun",
                    {{"open_requests", static_cast<int64_t>(callers_.busy())}},
                    stop_began_);
@@ -236,7 +257,7 @@
   if (since >= kListenAfterStop + kFirstRequestTime) {
     callers_.CloseIdle();
     // Clients must also have read the last bytes of their responses.
-    if (callers_.connections() == 0) {
+    if (callers_.connections() == 0 && control_.busy() == 0) {
       End();
       return;
     }
@@ -258,6 +279,7 @@
                    {{"cut_requests", static_cast<int64_t>(callers_.busy())}},
                    BootNow());
   callers_.CloseAll();
+  control_.CloseAll();
   peers_->Stop();
   store_->Stop();
   loop_.stop();
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -30,6 +30,8 @@
 constexpr size_t kMaxDisseminated = 32;
 // Maximum contents of crashes, and likewise of answers, per message.
 constexpr size_t kMaxContents = 512;
+// An instance that serves requests for others was heard within this time.
+constexpr absl::Duration kStandInHeard = absl::Milliseconds(1500);
 // Crashes that arrive within this time are forwarded together.
 constexpr absl::Duration kForwardDelay = absl::Milliseconds(100);
 // Maximum number of tracked senders.
@@ -134,6 +136,7 @@
     peer.incarnation = message.incarnation;
     peer.last_sequence = message.sequence;
     peer.heard = now;
+    peer.reaches_targets = message.reaches_targets && !message.leaving;
     peer.sent_ms = ValueOf(decoded).trailer.sent_ms;
     peer.received = now;
     MergeMembers(message, id, now);
@@ -282,6 +285,9 @@
   message.incarnation = state_.incarnation;
   message.sequence = ++sequence_;
   message.data_centre = state_.settings.data_centre.text();
+  message.reaches_targets = serves_others_ && state_.view.has_config() &&
+                            !state_.links.lost() &&
+                            !state_.settings.control_address.empty();
   message.cpu_millicores =
       static_cast<uint32_t>(state_.settings.cpu_cores * 1000);
   return message;
@@ -445,6 +451,7 @@
     return state_.view.Find(target) == nullptr;
   });
   state_.CountInstances(now);
+  state_.CheckLinks(now);
   state_.crash_evidence.RemoveExpired(now);
   pending_departures_.erase(
       std::remove_if(pending_departures_.begin(), pending_departures_.end(),
@@ -528,6 +535,23 @@
   }
 }
 
+std::optional<InstanceId> PeerLink::ChooseStandIn(
+    const std::vector<InstanceId>& excluded) {
+  const absl::Time now = BootNow();
+  std::vector<InstanceId> possible;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.reaches_targets && now - peer.heard <= kStandInHeard &&
+        std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
+      possible.push_back(id);
+    }
+  }
+  if (possible.empty()) {
+    return std::nullopt;
+  }
+  return possible[std::uniform_int_distribution<size_t>(
+      0, possible.size() - 1)(state_.random)];
+}
+
 void PeerLink::SendPlacementRequest(const InstanceId& home,
                                     uint64_t id,
                                     const PlacementRequest& request) {
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace umbertrail::front {
 
-inline constexpr uint32_t kPeerMessageVersion = 6;
+inline constexpr uint32_t kPeerMessageVersion = 7;
 
 // A work item at a target.
 struct PeerWork {
@@ -184,6 +184,8 @@
   // targets.
   bool full_report = false;
   bool leaving = false;
+  // The sender has links to targets and serves requests of other instances.
+  bool reaches_targets = false;
   // Requests the receiver's gossip in reply.
   bool wants_gossip = false;
   // Size of the fleet as known to the sender, and the time since any instance
@@ -208,6 +210,7 @@
                        cpu_millicores,
                        full_report,
                        leaving,
+                       reaches_targets,
                        wants_gossip,
                        fleet_size,
                        fleet_size_age_ms,
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -18,6 +18,9 @@
 constexpr absl::Duration kMinAttemptTime = absl::Milliseconds(30);
 // Most helpers excluded before a failed reservation refuses the request.
 constexpr size_t kMaxReservationFailures = 3;
+// Another instance accepts a connection, and acknowledges bytes, within this.
+constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(150);
+constexpr absl::Duration kPeerAckTimeout = absl::Seconds(1);
 
 absl::string_view ReasonPhrase(int status) {
   switch (status) {
@@ -40,9 +43,12 @@
 
 }  // namespace
 
-Relay::Relay(State& state, std::shared_ptr<net::ServerConnection> client)
+Relay::Relay(State& state,
+             std::shared_ptr<net::ServerConnection> client,
+             Origin origin)
     : state_(state),
       client_(std::move(client)),
+      origin_(origin),
       started_(BootNow()),
       waiting_since_(started_),
       deadline_(absl::InfiniteFuture()),
@@ -65,8 +71,13 @@
   const absl::Duration kept = std::min(facts_.time_left, route_->timeout);
   deadline_ = started_ + kept;
   deadline_alarm_.Set(kept, shared_from_this(), &Relay::OnDeadline);
-  state_.RetryBudgetOf(service_id_, started_)
-      .NoteRequest(started_, state_.fleet_size.Divisor(started_));
+  if (origin_ == Origin::kClient) {
+    state_.RetryBudgetOf(service_id_, started_)
+        .NoteRequest(started_, state_.fleet_size.Divisor(started_));
+  } else {
+    // The other instance has counted the request.
+    attempts_ = facts_.attempts_before.value_or(0);
+  }
   PlaceAndSend();
 }
 
@@ -103,10 +114,67 @@
   if (RefuseIfBlocked(BootNow())) {
     return;
   }
+  if (state_.links.lost() && SendThroughPeer()) {
+    return;
+  }
   RequestPlacement(
       [](Relay& relay, const PlacementReply& reply) { relay.OnPlaced(reply); });
 }
 
+bool Relay::SendThroughPeer() {
+  const absl::Time now = BootNow();
+  if (origin_ == Origin::kInstance || attempts_ >= route_->max_attempts ||
+      !HasTimeForAttempt(now)) {
+    return false;
+  }
+  const auto peer = state_.choose_stand_in(tried_peers_);
+  const std::string& own_control = state_.settings.control_address;
+  const size_t colon = own_control.rfind(':');
+  if (!peer || colon == std::string::npos) {
+    return false;
+  }
+  // All instances use the same port.
+  const auto endpoint =
+      net::ParseEndpoint(absl::StrCat(peer->text(), own_control.substr(colon)));
+  if (!endpoint) {
+    return false;
+  }
+  peer_ = *peer;
+  tried_peers_.push_back(peer_);
+  target_ = TargetId();
+  adapter::RelayOptions options;
+  options.time_left = deadline_ - now;
+  options.attempts = attempts_;
+  if (response_started_) {
+    options.last_event = framer_.last_event_id();
+  }
+  const net::RequestHead head =
+      adapter::WriteRelayedRequest(client_->request(), options);
+  BeginAttempt(now);
+  state_.log.Write(EventLog::Level::kNormal, "passed_on",
+                   {{"request", facts_.id.text()},
+                    {"instance", peer_.text()},
+                    {"attempt", static_cast<int64_t>(attempts_)}},
+                   now);
+  connection_ = state_.peer_pool.Acquire(TargetId(peer_.text()), *endpoint);
+  connection_->Call(*endpoint, kPeerConnectTimeout, kPeerAckTimeout,
+                    net::WriteRequestHead(head, client_->body()->size()),
+                    client_->body(), client_->request().method == "HEAD",
+                    weak_from_this());
+  return true;
+}
+
+void Relay::BeginAttempt(absl::Time now) {
+  first_event_alarm_.Cancel();
+  sent_at_ = now;
+  ++attempts_;
+  response_mode_ = ResponseMode::kUndecided;
+  target_sent_events_ = false;
+  not_executed_ = false;
+  buffered_body_.clear();
+  (void)framer_.TakeRemainder();
+}
+
 bool Relay::RefuseIfBlocked(absl::Time now) {
   if (!state_.IsBlocked(contents_, now)) {
     return false;
@@ -195,6 +263,15 @@
   if (!MayMoveToAnotherTarget(now)) {
     return;
   }
+  if (state_.links.lost()) {
+    if (state_.choose_stand_in(tried_peers_) &&
+        state_.TakeRetry(service_id_, facts_.id, now)) {
+      may_have_run_ = true;
+      DisconnectFromTarget();
+      PlaceAndSend();
+    }
+    return;
+  }
   tried_targets_.push_back(target_);
   RequestPlacement([](Relay& relay, const PlacementReply& reply) {
     relay.OnAlternativePlaced(reply);
@@ -298,6 +375,7 @@
     return;
   }
   const auto endpoint = net::ParseEndpoint(entry->address);
+  peer_ = InstanceId();
   target_ = placed.target;
   target_born_ms_ = entry->born_ms;
   adapter::ForwardOptions send;
@@ -318,13 +396,7 @@
   RegisterWork(placed);
   state_.rates[target_].NoteSend(now);
   predicted_first_event_ = placed.time_to_first_event;
-  sent_at_ = now;
-  ++attempts_;
-  response_mode_ = ResponseMode::kUndecided;
-  target_sent_events_ = false;
-  not_executed_ = false;
-  buffered_body_.clear();
-  (void)framer_.TakeRemainder();
+  BeginAttempt(now);
   state_.log.Write(
       EventLog::Level::kNormal, "sent",
       {{"request", facts_.id.text()},
@@ -395,7 +467,9 @@
 
 void Relay::RetryOrRefuse(Refusal refusal) {
   const absl::Time now = BootNow();
-  tried_targets_.push_back(target_);
+  if (peer_.empty()) {
+    tried_targets_.push_back(target_);
+  }
   if (target_sent_events_) {
     waiting_since_ = now;
   }
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -15,6 +15,9 @@
 
 // Failed connection attempts after which a request is refused.
 constexpr int kMaxConnectFailures = 4;
+// Failed connection attempts after which another instance is asked, as this one
+// may have lost links.
+constexpr int kMaxDirectConnectFailures = 2;
 // Unsent bytes for a slow client above which reading from the target pauses.
 constexpr size_t kMaxPendingBytes = 131072;
 // Non-streamed bodies up to this size are buffered until complete, so that the
@@ -28,6 +31,10 @@
   if (finished_) {
     return;
   }
+  if (!peer_.empty()) {
+    OnPeerHead(head);
+    return;
+  }
   const adapter::ResponseMetadata facts =
       adapter::ReadResponse(head, facts_.id);
   not_executed_ = facts.not_run;
@@ -61,6 +68,22 @@
   }
 }
 
+// The response is the target's, or a refusal by the other instance that is as
+// true here.
+void Relay::OnPeerHead(const net::ResponseHead& head) {
+  response_head_ = head;
+  response_head_.headers.RemoveHopByHop();
+  response_head_.headers.Remove("Content-Length");
+  if (is_stream() && head.status / 100 == 2) {
+    response_mode_ = ResponseMode::kStream;
+    has_stated_length_ = response_head_.length.has_value();
+    response_head_.length.reset();
+  } else {
+    response_mode_ =
+        response_started_ ? ResponseMode::kDiscard : ResponseMode::kForward;
+  }
+}
+
 void Relay::RecordTargetStatus(const adapter::ResponseMetadata& facts) {
   const absl::Time now = BootNow();
   if (facts.leaving && state_.MarkLeaving(target_, target_born_ms_, now)) {
@@ -100,6 +123,9 @@
   if (finished_) {
     return;
   }
+  if (peer_.empty()) {
+    state_.RecordContact(BootNow());
+  }
   switch (response_mode_) {
     case ResponseMode::kStream:
       framer_.Add(bytes);
@@ -197,7 +223,11 @@
   }
   const absl::Time now = BootNow();
   ReleaseTargetResources();
-  state_.pool.Release(target_, std::move(connection_));
+  if (peer_.empty()) {
+    state_.pool.Release(target_, std::move(connection_));
+  } else {
+    state_.peer_pool.Release(TargetId(peer_.text()), std::move(connection_));
+  }
   connection_.reset();
   state_.metrics.CountAttempt(not_executed_ ? "not_run" : "answered");
   if (not_executed_) {
@@ -210,17 +240,25 @@
   if (response_mode_ == ResponseMode::kStream && !has_stated_length_ &&
       framer_.has_incomplete_event()) {
     LogFailedAttempt("ended_in_event", response_head_.status, true);
-    state_.RecordFailure(target_, now);
-    state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
+    if (peer_.empty()) {
+      state_.RecordFailure(target_, now);
+      state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
+    }
     RetryOrRefuse(Refusal::kTargetFailed);
     return;
   }
   if (response_mode_ == ResponseMode::kDiscard) {
     LogFailedAttempt("unusable", response_head_.status, true);
-    state_.RecordFailure(target_, now);
+    if (peer_.empty()) {
+      state_.RecordFailure(target_, now);
+    }
     RetryOrRefuse(Refusal::kTargetFailed);
     return;
   }
+  if (!peer_.empty()) {
+    CompleteResponse();
+    return;
+  }
   if (response_head_.status >= kServerError) {
     LogFailedAttempt("server_error", response_head_.status, true);
     state_.RecordFailure(target_, now);
@@ -238,6 +276,10 @@
   } else if (response_head_.status / 100 == 2) {
     state_.crash_evidence.RecordAnswer(contents_, now);
   }
+  CompleteResponse();
+}
+
+void Relay::CompleteResponse() {
   if (response_mode_ == ResponseMode::kStream) {
     const std::string rest = framer_.TakeRemainder();
     StartResponseOnce();
@@ -265,11 +307,18 @@
   }
   state_.metrics.CountAttempt(net::NameOf(failure));
   LogFailedAttempt(net::NameOf(failure), 0, sent);
+  if (!peer_.empty()) {
+    OnPeerFailure(sent);
+    return;
+  }
   if (!sent) {
     --attempts_;
     ++connect_failures_;
     state_.RecordUnreachable(target_, now);
     tried_targets_.push_back(target_);
+    if (connect_failures_ >= kMaxDirectConnectFailures && SendThroughPeer()) {
+      return;
+    }
     if (connect_failures_ < kMaxConnectFailures && HasTimeForAttempt(now)) {
       PlaceAndSend();
     } else {
@@ -285,6 +334,18 @@
   RetryOrRefuse(Refusal::kTargetFailed);
 }
 
+void Relay::OnPeerFailure(bool sent) {
+  if (sent) {
+    may_have_run_ = true;
+    RetryOrRefuse(Refusal::kTargetFailed);
+    return;
+  }
+  --attempts_;
+  if (!SendThroughPeer()) {
+    Refuse(Refusal::kNoTarget, absl::Milliseconds(500));
+  }
+}
+
 void Relay::LogFailedAttempt(absl::string_view how, int status, bool sent) {
   const absl::Time now = BootNow();
   const std::string parts =
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -17,6 +18,8 @@
 
 // Lifetime of the cached homes.
 constexpr absl::Duration kHomesCacheTime = absl::Milliseconds(100);
+// Shorter losses of the links leave connections intact: only new ones fail.
+constexpr absl::Duration kLinkOutage = absl::Seconds(1);
 // Requests with blocked content are tried this long after it was blocked, and
 // again at this interval.
 constexpr absl::Duration kTrialDelay = absl::Seconds(5);
@@ -49,6 +52,7 @@
       members({InstanceId(settings.ip), settings.data_centre,
                settings.cpu_cores, absl::InfiniteFuture()}),
       pool(event_loop),
+      peer_pool(event_loop),
       fleet_size(StartOf(settings), BootNow()),
       random(std::random_device{}()),
       incarnation(random()) {
@@ -198,6 +202,9 @@
 }
 
 void State::RecordFailure(const TargetId& target, absl::Time now) {
+  if (links.lost()) {
+    return;  // Says nothing of the target.
+  }
   health[target].RecordFailure(now);
   ++unreported_outcomes[target].failures;
 }
@@ -212,6 +219,7 @@
 }
 
 void State::RecordResponse(const TargetId& target, absl::Time now) {
+  RecordContact(now);
   crash_detector.RecordResponse(target, now);
   ReportCrashes(now);
 }
@@ -237,6 +245,7 @@
                    [this, target, connection](bool connected) {
                      targets_checked_.erase(target);
                      if (connected) {
+                       RecordContact(BootNow());
                        pool.Release(target, connection);
                      } else {
                        RecordUnreachable(target, BootNow());
@@ -244,7 +253,48 @@
                    });
 }
 
+void State::RecordContact(absl::Time now) {
+  if (links.RecordContact(now)) {
+    const absl::Duration lost_for = now - links_lost_at_;
+    log.Write(EventLog::Level::kImportant, "links_regained",
+              {{"lost_ms", absl::ToInt64Milliseconds(lost_for)}}, now);
+    if (lost_for >= kLinkOutage) {
+      pool.CloseAllIdle();  // They may be dead.
+    }
+  }
+}
+
+void State::CheckLinks(absl::Time now) {
+  const bool waits = !board.OwnTargets().empty() && links.IsSilent(now);
+  if (!links.lost() && !waits) {
+    return;
+  }
+  std::vector<TargetId> targets;
+  for (const auto& [id, entry] : view.targets()) {
+    if (view.MayServe(entry)) {
+      targets.push_back(id);
+    }
+  }
+  std::vector<TargetId> chosen;
+  std::sample(targets.begin(), targets.end(), std::back_inserter(chosen),
+              dispatch::TargetLinks::kMinUnreachable, random);
+  for (const TargetId& target : chosen) {
+    CheckReachable(target);
+  }
+}
+
 void State::RecordUnreachable(const TargetId& target, absl::Time now) {
+  if (links.RecordUnreachable(target, view.targets().size())) {
+    log.Write(EventLog::Level::kImportant, "links_lost",
+              {{"targets", static_cast<int64_t>(view.targets().size())}}, now);
+    // What was seen last says nothing of the targets.
+    health.clear();
+    unreported_outcomes.clear();
+    links_lost_at_ = now;
+  }
+  if (links.lost()) {
+    return;
+  }
   health[target].RecordUnreachable(now);
   pool.CloseIdle(target);
   crash_detector.RecordUnreachable(target, now);
--- a/tests/adapter/request_codec_test.cc
+++ b/tests/adapter/request_codec_test.cc
@@ -200,5 +200,21 @@
   }
 }
 
+TEST_CASE("a request for another instance keeps the client's key") {
+  const net::RequestHead head =
+      WriteRelayedRequest(SampleRequest(), {absl::Milliseconds(700), 1, "12"});
+  CHECK(*head.headers.Find("Authorization") == "Token k1");
+  CHECK(*head.headers.Find("X-Deadline-Ms") == "700");
+  CHECK(*head.headers.Find("Last-Event-Id") == "12");
+  CHECK(MetadataOf(head).attempts_before == 1);
+  CHECK(head.headers.Count("X-Deadline-Ms") == 1);
+}
+
+TEST_CASE("what instances tell each other doesn't reach a target") {
+  net::RequestHead head = SampleRequest();
+  head.headers.Add("X-Attempts-Before", "0");
+  CHECK(WriteRequest(head, {}).headers.Find("X-Attempts-Before") == nullptr);
+}
+
 }  // namespace
 }  // namespace umbertrail::adapter
--- a/tests/front/stranded_instance_test.cc
+++ b/tests/front/stranded_instance_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -97,5 +98,52 @@
   CHECK(served * 3 >= kRequests * 2);
 }
 
+TEST_CASE("a stream is served through another instance, event by event") {
+  StrandedFleet fleet([](FakeConnection& connection) {
+    testing::ServeRequests(connection, [&](const std::string& request) {
+      connection.Write(testing::StreamHead(request) +
+                       testing::Chunk("id: 1\ndata: a\n\n") +
+                       testing::Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+      return true;
+    });
+  });
+  const std::string answer =
+      Ask(fleet.stranded_callers(),
+          testing::PlatformRequest("/stream/x", "id1", "k1"));
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
+  CHECK_THAT(answer, Catch::Contains("id: 1\ndata: a\n\n") &&
+                         Catch::Contains("id: 2\ndata: b\n\n") &&
+                         Catch::EndsWith("0\r\n\r\n"));
+}
+
+TEST_CASE(
+    "an unsafe request that broke beyond another instance isn't repeated") {
+  std::atomic<int> runs{0};
+  StrandedFleet fleet([&](FakeConnection& connection) {
+    testing::ServeRequests(connection, [&](const std::string&) {
+      ++runs;
+      return false;
+    });
+  });
+  CHECK_THAT(Ask(fleet.stranded_callers(),
+                 testing::PlatformRequest("/once/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 502"));
+  CHECK(runs == 1);
+}
+
+TEST_CASE("a request passed on is sent to no more targets than it may be") {
+  std::atomic<int> runs{0};
+  StrandedFleet fleet([&](FakeConnection& connection) {
+    testing::ServeRequests(connection, [&](const std::string&) {
+      ++runs;
+      return false;
+    });
+  });
+  CHECK_THAT(Ask(fleet.stranded_callers(),
+                 testing::PlatformRequest("/safe/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 502"));
+  CHECK(runs == 2);
+}
+
 }  // namespace
 }  // namespace umbertrail::front
