Relay: one place each to release a reservation and to note a failed response

Left by earlier work: the reservation was released in three copies. A blocked request found at its send now releases it too. While targets are silent one connection is opened before three.

--- a/packages/dispatch/include/umbertrail/dispatch/target_links.h
+++ b/packages/dispatch/include/umbertrail/dispatch/target_links.h
@@ -25,6 +25,8 @@
   bool RecordUnreachable(const TargetId& target, size_t known_targets);
 
   bool lost() const { return lost_; }
+  // A target couldn't be reached since the last contact.
+  bool has_failures() const { return !unreachable_.empty(); }
   bool IsSilent(absl::Time now) const {
     return now - last_contact_ >= kMaxSilence;
   }
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -36,9 +36,9 @@
   void ScheduleFlush();
   // Tells others at once which crashes are known.
   void PublishCrashes();
-  // Announces that the target with birth time `born_ms` is leaving.
   // Tells others, above all the target's homes, that its limit changed.
   void PublishLimit(const TargetId& target);
+  // Announces that the target with birth time `born_ms` is leaving.
   void PublishDeparture(const TargetId& target, int64_t born_ms);
   // An instance heard of late that reaches targets, by chance.
   std::optional<InstanceId> ChooseStandIn(
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -80,6 +80,7 @@
   void BeginAttempt(absl::Time now);
   void RegisterWork(const dispatch::PlacementDecision& placed);
   void ReleaseTargetResources();
+  void ReleaseReservation();
   // Retries at another target after a failed attempt, or refuses.
   void RetryOrRefuse(dispatch::Refusal refusal);
   // Whether a retry is allowed, or the reason why not.
@@ -95,6 +96,8 @@
   RetryDecision CheckRetry(absl::Time now) const;
   // As CheckRetry, but also consumes retry budget and stores the decision.
   bool AcquireRetry(absl::Time now);
+  // Notes a complete response that is no success.
+  void RecordFailedResponse(absl::string_view how, absl::Time now);
   void LogFailedAttempt(absl::string_view how, int status, bool sent);
   bool HasTimeForAttempt(absl::Time now) const;
   // Handles shutdown and back-off signals in the response headers.
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -342,6 +342,10 @@
     state_.board.End(id);
   }
   work_ids_.clear();
+  ReleaseReservation();
+}
+
+void Relay::ReleaseReservation() {
   if (reservation_) {
     reservation_->Release();
     reservation_.reset();
@@ -354,22 +358,17 @@
   if (entry == nullptr || !state_.view.MayServe(*entry) ||
       state_.InBackoff(placed.target, now)) {
     // The target left or asked for back-off during placement or reservation.
-    if (reservation_) {
-      reservation_->Release();
-      reservation_.reset();
-    }
+    ReleaseReservation();
     Refuse(Refusal::kNoTarget, absl::Milliseconds(200));
     return;
   }
   if (RefuseIfBlocked(now)) {
+    ReleaseReservation();
     return;
   }
   if (!placed.charged_to_limit && !state_.ChargeLimit(*entry, now)) {
     // The target stated a limit during placement or reservation.
-    if (reservation_) {
-      reservation_->Release();
-      reservation_.reset();
-    }
+    ReleaseReservation();
     tried_targets_.push_back(placed.target);
     PlaceAndSend();
     return;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -231,27 +231,22 @@
   connection_.reset();
   state_.metrics.CountAttempt(not_executed_ ? "not_run" : "answered");
   if (not_executed_) {
-    LogFailedAttempt("not_run", response_head_.status, true);
-    state_.RecordFailure(target_, now);
+    RecordFailedResponse("not_run", now);
     RetryOrRefuse(Refusal::kTargetBusy);
     return;
   }
   may_have_run_ = true;
   if (response_mode_ == ResponseMode::kStream && !has_stated_length_ &&
       framer_.has_incomplete_event()) {
-    LogFailedAttempt("ended_in_event", response_head_.status, true);
+    RecordFailedResponse("ended_in_event", now);
     if (peer_.empty()) {
-      state_.RecordFailure(target_, now);
       state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
     }
     RetryOrRefuse(Refusal::kTargetFailed);
     return;
   }
   if (response_mode_ == ResponseMode::kDiscard) {
-    LogFailedAttempt("unusable", response_head_.status, true);
-    if (peer_.empty()) {
-      state_.RecordFailure(target_, now);
-    }
+    RecordFailedResponse("unusable", now);
     RetryOrRefuse(Refusal::kTargetFailed);
     return;
   }
@@ -260,8 +255,7 @@
     return;
   }
   if (response_head_.status >= kServerError) {
-    LogFailedAttempt("server_error", response_head_.status, true);
-    state_.RecordFailure(target_, now);
+    RecordFailedResponse("server_error", now);
     if (!response_started_ && AcquireRetry(now)) {
       tried_targets_.push_back(target_);
       PlaceAndSend();
@@ -346,6 +340,13 @@
   }
 }
 
+void Relay::RecordFailedResponse(absl::string_view how, absl::Time now) {
+  LogFailedAttempt(how, response_head_.status, true);
+  if (peer_.empty()) {
+    state_.RecordFailure(target_, now);
+  }
+}
+
 void Relay::LogFailedAttempt(absl::string_view how, int status, bool sent) {
   const absl::Time now = BootNow();
   const std::string parts =
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -277,7 +277,8 @@
   }
   std::vector<TargetId> chosen;
   std::sample(targets.begin(), targets.end(), std::back_inserter(chosen),
-              dispatch::TargetLinks::kMinUnreachable, random);
+              links.has_failures() ? dispatch::TargetLinks::kMinUnreachable : 1,
+              random);
   for (const TargetId& target : chosen) {
     CheckReachable(target);
   }
