--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -212,6 +212,9 @@
 void State::RecordFirstEvent(const TargetId& target,
                              absl::Duration predicted,
                              absl::Duration actual) {
+  if (links.lost()) {
+    return;  // Says nothing of the target.
+  }
   UnreportedOutcomes& outcomes = unreported_outcomes[target];
   ++outcomes.first_events;
   outcomes.latency_ratio_sum +=
