--- a/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
+++ b/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
@@ -1,6 +1,7 @@
 #ifndef UMBERTRAIL_DISPATCH_CRASH_EVIDENCE_H_
 #define UMBERTRAIL_DISPATCH_CRASH_EVIDENCE_H_
 
+#include <bitset>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -54,7 +55,7 @@
   static constexpr int kMinCrashesOfPart = 3;
   // Retention of crashes that block nothing.
   static constexpr absl::Duration kCrashRetention = absl::Seconds(60);
-  // Content stays blocked for this long after the last known crash.
+  // Content stays blocked for this long after the crashes that show it.
   static constexpr absl::Duration kBlockRetention = absl::Hours(1);
   // An answer speaks for its content in crashes until this long after it.
   static constexpr absl::Duration kAnswerValidity = absl::Seconds(10);
@@ -86,6 +87,9 @@
   Report ToTell(absl::Time now);
 
  private:
+  // Known crashes, without those that are explained.
+  static constexpr size_t kMaxCrashes = 64;
+  using CrashSet = std::bitset<kMaxCrashes>;
   using CrashKey = std::pair<TargetId, int64_t>;
   struct Occurrences;
   using OccurrencesByContent = absl::flat_hash_map<Fingerprint, Occurrences>;
@@ -93,7 +97,17 @@
   // True if an answer speaks for the content in a crash at that time.
   bool IsCleared(Fingerprint content, absl::Time crash_at) const;
   bool IsExplained(const TargetCrash& crash) const;
+  // Finds out what to block, the most frequent content first.
   void Evaluate();
+  static OccurrencesByContent::const_iterator MostFrequent(
+      const OccurrencesByContent& occurrences,
+      const CrashSet& remaining);
+  static std::set<Fingerprint> OccurringWith(
+      const OccurrencesByContent::value_type& top,
+      const OccurrencesByContent& occurrences,
+      const CrashSet& explained);
+  absl::Time LastCrashOf(const std::set<Fingerprint>& contents,
+                         const std::vector<const TargetCrash*>& supports) const;
   OccurrencesByContent CountOccurrences(
       const std::vector<const TargetCrash*>& crashes) const;
   std::vector<CrashKey> KeepSupports(std::vector<const TargetCrash*> supports);
--- a/packages/dispatch/src/crash_evidence.cc
+++ b/packages/dispatch/src/crash_evidence.cc
@@ -10,8 +10,6 @@
 
 // Crashes kept as the evidence of one block.
 constexpr size_t kMaxSupports = 16;
-// Known crashes, without those that are explained.
-constexpr size_t kMaxCrashes = 64;
 // Contents kept of one crash, wholes and parts each.
 constexpr size_t kMaxContents = 48;
 // Contents whose answers are remembered.
@@ -23,8 +21,6 @@
 // occurring in all: the report of one may be lost.
 constexpr int kMinCrashesWithSlack = 4;
 
-using CrashSet = std::bitset<kMaxCrashes>;
-
 bool HoldsAll(const RequestContents& request,
               const std::set<Fingerprint>& contents) {
   return std::all_of(contents.begin(), contents.end(), [&](Fingerprint it) {
@@ -207,41 +203,18 @@
   std::vector<CrashKey> surplus;
   CrashSet remaining;
   remaining.set();
-  while (true) {
-    // The content that explains most of the remaining crashes. Of equals, a
-    // request as a whole comes first: its parts may be harmless elsewhere.
-    const auto rank = [&](const auto& entry) {
-      return std::make_tuple(entry.second.Count(remaining),
-                             entry.second.is_whole, entry.first);
-    };
-    const auto top = std::max_element(
-        occurrences.begin(), occurrences.end(),
-        [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
-    if (top == occurrences.end() || top->second.Count(remaining) == 0) {
-      break;
-    }
+  for (auto top = MostFrequent(occurrences, remaining);
+       top != occurrences.end(); top = MostFrequent(occurrences, remaining)) {
     const CrashSet explained = top->second.crashes & remaining;
-    const size_t count = explained.count();
-    const size_t slack = count >= kMinCrashesWithSlack ? 1 : 0;
-    Block block{{top->first}, absl::InfinitePast()};
-    for (const auto& [content, seen] : occurrences) {
-      if (!top->second.is_whole && !seen.is_whole &&
-          (seen.crashes & explained).count() + slack >= count) {
-        block.contents.insert(content);
-      }
-    }
     std::vector<const TargetCrash*> supports;
     for (size_t i = 0; i < crashes.size(); ++i) {
       if (explained.test(i)) {
         supports.push_back(crashes[i]);
-        block.last_crash = std::max(block.last_crash, crashes[i]->at);
-      }
-    }
-    for (const Block& before : blocks_) {
-      if (before.contents == block.contents) {
-        block.last_crash = std::max(block.last_crash, before.last_crash);
       }
     }
+    Block block;
+    block.contents = OccurringWith(*top, occurrences, explained);
+    block.last_crash = LastCrashOf(block.contents, supports);
     blocks.push_back(std::move(block));
     for (CrashKey& key : KeepSupports(std::move(supports))) {
       surplus.push_back(std::move(key));
@@ -255,6 +228,59 @@
   }
 }
 
+// The content that explains most of the remaining crashes, if enough to block
+// it. Of equals, a request as a whole comes first: its parts may be harmless
+// elsewhere.
+CrashEvidence::OccurrencesByContent::const_iterator CrashEvidence::MostFrequent(
+    const OccurrencesByContent& occurrences,
+    const CrashSet& remaining) {
+  const auto rank = [&](const auto& entry) {
+    return std::make_tuple(entry.second.Count(remaining), entry.second.is_whole,
+                           entry.first);
+  };
+  const auto top = std::max_element(
+      occurrences.begin(), occurrences.end(),
+      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+  return top == occurrences.end() || top->second.Count(remaining) == 0
+             ? occurrences.end()
+             : top;
+}
+
+// The content with the parts that can't be told apart from it.
+std::set<Fingerprint> CrashEvidence::OccurringWith(
+    const OccurrencesByContent::value_type& top,
+    const OccurrencesByContent& occurrences,
+    const CrashSet& explained) {
+  std::set<Fingerprint> contents = {top.first};
+  if (top.second.is_whole) {
+    return contents;
+  }
+  const size_t count = explained.count();
+  const size_t slack = count >= kMinCrashesWithSlack ? 1 : 0;
+  for (const auto& [content, seen] : occurrences) {
+    if (!seen.is_whole && (seen.crashes & explained).count() + slack >= count) {
+      contents.insert(content);
+    }
+  }
+  return contents;
+}
+
+// Includes crashes that were dropped since these contents were blocked.
+absl::Time CrashEvidence::LastCrashOf(
+    const std::set<Fingerprint>& contents,
+    const std::vector<const TargetCrash*>& supports) const {
+  absl::Time last = absl::InfinitePast();
+  for (const TargetCrash* crash : supports) {
+    last = std::max(last, crash->at);
+  }
+  for (const Block& before : blocks_) {
+    if (before.contents == contents) {
+      last = std::max(last, before.last_crash);
+    }
+  }
+  return last;
+}
+
 // Keeps the earliest crashes as evidence of a block and returns the others.
 std::vector<CrashEvidence::CrashKey> CrashEvidence::KeepSupports(
     std::vector<const TargetCrash*> supports) {
