A run that its receiver's deadline ended stays open until its target answers

Cause: a receiver was paused for 21 s while its target died of the content. When it went on, the timer of the request came before the news of the broken connection, and the end of the request released its run at the content's homes as if no target had died. One home had been killed meanwhile and its successor was young, so the next two copies ran.

Ruled out: homes that forget (the receiver itself was the home that knew of the run and was told that it had been released).

Change: a request that ends while its attempt is under way asks the target whether it died, as after a broken connection, and the run stays open until the answer. That the target lives takes back a death that a home has counted meanwhile because the run's time was over.

--- a/packages/core/include/umbertrail/core/request/request_flow.h
+++ b/packages/core/include/umbertrail/core/request/request_flow.h
@@ -290,6 +290,12 @@
                 ActiveRequest* r,
                 bool answered,
                 Actions* actions);
+  // Asks the target of an attempt whose end is unknown whether it died. Until
+  // it answers the run stays open at the homes of its content.
+  void BeginPostMortem(absl::Time now,
+                       ActiveRequest* r,
+                       const Place& lead,
+                       Actions* actions);
   void Retry(absl::Time now, ActiveRequest* r, Actions* actions);
   void TellDeath(absl::Time now,
                  const PostMortem& post_mortem,
--- a/packages/core/include/umbertrail/core/request/screen_home.h
+++ b/packages/core/include/umbertrail/core/request/screen_home.h
@@ -110,7 +110,10 @@
   // How many open runs and deaths it allows in sum.
   uint32_t LimitFor(Fingerprint fingerprint) const;
   ScreenVerdict Judge(const Entry& entry, uint32_t limit) const;
+  static std::vector<Death>::iterator FindDeath(const Death& death,
+                                                Entry* entry);
   static void CountDeath(Death death, Entry* entry);
+  static void RemoveDeath(const Death& death, Entry* entry);
   // Ends runs of whose end nothing was heard: their holder may have died with
   // their target, so each counts as a death until the content runs whole.
   template <typename Predicate>
--- a/packages/core/src/request/flow_attempt.cc
+++ b/packages/core/src/request/flow_attempt.cc
@@ -164,16 +164,7 @@
   r->excluded.insert(lead.target);
   r->answer.DropWaiting();
   if (!answered) {
-    // Without content to screen nobody needs to know later.
-    const bool matters = r->spec.fingerprint != Fingerprint(0);
-    const absl::Duration limit =
-        matters ? config_.post_mortem_limit : config_.post_mortem;
-    post_mortems_.push_back({r->spec.id, r->attempt, r->spec.fingerprint,
-                             lead.target, lead.boot, r->screen_homes,
-                             r->screen_attempt, now + config_.post_mortem,
-                             now + limit});
-    ForgetScreen(r);
-    actions->push_back(PollTarget{lead.target});
+    BeginPostMortem(now, r, lead, actions);
   }
   if (r->once && !parts_.mutations->retry_after_bytes_sent) {
     Outcome outcome;
@@ -200,6 +191,22 @@
   table_.WakeAt(r, absl::InfiniteFuture());
 }
 
+void RequestFlow::BeginPostMortem(absl::Time now,
+                                  ActiveRequest* r,
+                                  const Place& lead,
+                                  Actions* actions) {
+  // Without content to screen nobody needs to know later.
+  const bool matters = r->spec.fingerprint != Fingerprint(0);
+  const absl::Duration limit =
+      matters ? config_.post_mortem_limit : config_.post_mortem;
+  post_mortems_.push_back({r->spec.id, r->attempt, r->spec.fingerprint,
+                           lead.target, lead.boot, r->screen_homes,
+                           r->screen_attempt, now + config_.post_mortem,
+                           now + limit});
+  ForgetScreen(r);
+  actions->push_back(PollTarget{lead.target});
+}
+
 void RequestFlow::Retry(absl::Time now, ActiveRequest* r, Actions* actions) {
   r->awaits_post_mortem = false;
   BeginProbing(now, r, actions);
--- a/packages/core/src/request/flow_finish.cc
+++ b/packages/core/src/request/flow_finish.cc
@@ -45,6 +45,9 @@
                        outcome.total == r->answer.delivered() || !own ||
                        r->once);
   if (r->phase == Phase::kRunning) {
+    if (!r->screen_homes.empty()) {
+      BeginPostMortem(now, r, r->places.back(), actions);
+    }
     GiveUpAttempt(r, actions);
     SettlePlaces(now, r, AttemptResult::kCancelled, actions);
   } else {
--- a/packages/core/src/request/screen_home.cc
+++ b/packages/core/src/request/screen_home.cc
@@ -89,6 +89,13 @@
     deadly_.insert(ended.fingerprint);
     entry.proven = false;
   }
+  if (ended.end == ScreenEnd::kReleased) {
+    // Its time had passed before its holder knew that no target died.
+    RemoveDeath({from, ended.request, ended.attempt}, &entry);
+    if (CountOf(entry) == 0) {
+      deadly_.erase(ended.fingerprint);
+    }
+  }
   if (ended.end == ScreenEnd::kCompleted) {
     // One death beside others was not this content's doing: it ran whole.
     if (CountOf(entry) < kDeathLimit) {
@@ -234,13 +241,25 @@
   return ScreenVerdict::kWait;
 }
 
+std::vector<ScreenHome::Death>::iterator ScreenHome::FindDeath(
+    const Death& death,
+    Entry* entry) {
+  return std::find_if(
+      entry->deaths.begin(), entry->deaths.end(), [&](const Death& it) {
+        return it.holder == death.holder && it.request == death.request &&
+               it.attempt == death.attempt;
+      });
+}
+
+void ScreenHome::RemoveDeath(const Death& death, Entry* entry) {
+  const auto found = FindDeath(death, entry);
+  if (found != entry->deaths.end()) {
+    entry->deaths.erase(found);
+  }
+}
+
 void ScreenHome::CountDeath(Death death, Entry* entry) {
-  const auto same = [&](const Death& it) {
-    return it.holder == death.holder && it.request == death.request &&
-           it.attempt == death.attempt;
-  };
-  const bool known =
-      std::any_of(entry->deaths.begin(), entry->deaths.end(), same);
+  const bool known = FindDeath(death, entry) != entry->deaths.end();
   if (!known && entry->deaths.size() < kDeathLimit) {
     entry->deaths.push_back(std::move(death));
     entry->told.clear();
--- a/tests/core/request_flow_screen_test.cc
+++ b/tests/core/request_flow_screen_test.cc
@@ -188,6 +188,34 @@
   }
 }
 
+TEST_CASE("a run that its deadline ended stays open until its target answers") {
+  Screening it;
+  it.Asked();
+  it.Answer(it.Home(0), ScreenVerdict::kRun, 0);
+  it.Answer(it.Home(1), ScreenVerdict::kRun, 0);
+  it.Reply(it.TakeAsk(), AdmitDecision::kGranted);
+  const StartAttempt start = *it.Last<StartAttempt>();
+  it.now += absl::Hours(1);
+  it.flow.OnTick(it.now, &it.actions);
+  CHECK(it.Ended().empty());
+  CHECK(it.Polls() == 1);
+  const auto* finish = it.Last<FinishRequest>();
+  REQUIRE(finish != nullptr);
+  CHECK(finish->outcome.reason == Reason::kDeadlineExceeded);
+  TargetReport report;
+  SECTION("with the same boot: it didn't die") {
+    report.boot = BootId("boot");
+    it.flow.OnTargetReport(it.now, start.target, report, &it.actions);
+    CHECK(it.Ended() == std::vector(2, ScreenEnd::kReleased));
+  }
+  SECTION("with another boot: it died") {
+    report.boot = BootId("restarted");
+    it.flow.OnTargetReport(it.now, start.target, report, &it.actions);
+    const auto ended = it.Ended();
+    CHECK(std::count(ended.begin(), ended.end(), ScreenEnd::kDied) >= 2);
+  }
+}
+
 TEST_CASE("a home that answers late is released with the others") {
   Screening it;
   it.Asked();
--- a/tests/core/request_screen_home_test.cc
+++ b/tests/core/request_screen_home_test.cc
@@ -103,6 +103,11 @@
     CHECK(later.verdict == ScreenVerdict::kRun);
     CHECK(later.deaths == 1);
   }
+  SECTION("until its holder tells that no target died") {
+    it.home.OnHolderGone(kFrom);
+    it.End("a", ScreenEnd::kReleased);
+    CHECK(it.home.DeathsOf(kContent) == 0);
+  }
   SECTION("and content that then runs whole is cleared") {
     it.home.OnHolderGone(kFrom);
     it.Ask("b");
