The fleet tries blocked content once in an interval, whoever is restarted

A request with a part that crashes targets was sent again each time an instance was restarted: one instance tries blocked content five seconds after it was blocked, lest harmless content stays so, and each process kept that time for itself. Killed instances tried again, and while the first in rank was away the next one did.

Change: BlockTrials. The time of the last trial is told with the gossip, at once when a trial is made; a restarted instance tries nothing until an instance that knows has told it, or an interval has passed.

The plays of fleets make trials now; they had left them out, which is why this was not found.

--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -12,6 +12,7 @@
 
 #include "absl/time/time.h"
 #include "platform/node_settings.h"
+#include "umbertrail/dispatch/block_trials.h"
 #include "umbertrail/dispatch/budgets.h"
 #include "umbertrail/dispatch/crash_detector.h"
 #include "umbertrail/dispatch/crash_evidence.h"
@@ -168,6 +169,7 @@
   std::map<ServiceId, dispatch::RetryBudget> retry_budgets;
   // Instances that share the fleet's budgets.
   dispatch::FleetSize fleet_size;
+  dispatch::BlockTrials block_trials;
   // Live instances, including this one.
   int live_instances = 1;
   // The view includes all changes of the store up to this revision.
@@ -179,7 +181,7 @@
   std::function<std::optional<InstanceId>(
       const std::vector<InstanceId>& excluded)>
       choose_stand_in;
-  // Disseminates crashes detected locally.
+  // Disseminates crashes detected locally, and trials of blocked content.
   std::function<void()> publish_crashes;
   // Disseminates departures announced to this instance.
   std::function<void(const TargetId& target, int64_t born_ms)>
@@ -215,7 +217,6 @@
   std::map<TargetId, std::vector<ReachabilityCallback>> checks_;
   // Blocked contents, and since when this instance knows.
   std::map<std::set<Fingerprint>, absl::Time> blocked_since_;
-  absl::Time next_trial_ = absl::InfinitePast();
   std::map<TargetId, absl::Time> backoff_until_;
   dispatch::ShardTable shards_;
   uint64_t sharded_changes_ = 0;
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -157,6 +157,27 @@
       absl::Milliseconds(message.fleet_size_age_ms)};
 }
 
+void EncodeLastTrial(std::optional<absl::Time> last_trial,
+                     absl::Time now,
+                     PeerMessage* message) {
+  message->knows_last_trial = last_trial.has_value();
+  if (last_trial) {
+    message->last_trial_ms_ago = *last_trial == absl::InfinitePast()
+                                     ? kNoTrial
+                                     : ToMillis(now - *last_trial);
+  }
+}
+
+std::optional<absl::Time> DecodeLastTrial(const PeerMessage& message,
+                                          absl::Time now) {
+  if (!message.knows_last_trial) {
+    return std::nullopt;
+  }
+  return message.last_trial_ms_ago == kNoTrial
+             ? absl::InfinitePast()
+             : now - absl::Milliseconds(message.last_trial_ms_ago);
+}
+
 PeerCrash ToWire(const dispatch::TargetCrash& crash, absl::Time now) {
   return {crash.target.text(), crash.born_ms, ToMillis(now - crash.at),
           ToNumbers(crash.wholes), ToNumbers(crash.parts)};
--- a/packages/front/src/peer_codec.h
+++ b/packages/front/src/peer_codec.h
@@ -32,6 +32,13 @@
 std::optional<dispatch::FleetSizeReport> DecodeFleetSize(
     const PeerMessage& message);
 
+void EncodeLastTrial(std::optional<absl::Time> last_trial,
+                     absl::Time now,
+                     PeerMessage* message);
+// Nothing if the sender doesn't know.
+std::optional<absl::Time> DecodeLastTrial(const PeerMessage& message,
+                                          absl::Time now);
+
 PeerCrash ToWire(const dispatch::TargetCrash& crash, absl::Time now);
 dispatch::TargetCrash FromWire(const PeerCrash& wire, absl::Time now);
 PeerAnswer ToWire(const dispatch::AnsweredContent& answer, absl::Time now);
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -221,6 +221,9 @@
 }
 
 void PeerLink::ApplyCrashes(const PeerMessage& message, absl::Time now) {
+  if (const auto last_trial = DecodeLastTrial(message, now)) {
+    state_.block_trials.Merge(*last_trial);
+  }
   for (const PeerAnswer& answer : message.answers) {
     state_.crash_evidence.MergeAnswer(FromWire(answer, now));
   }
@@ -314,6 +317,7 @@
 }
 
 void PeerLink::AddCrashes(PeerMessage* message, absl::Time now) {
+  EncodeLastTrial(state_.block_trials.last(), now, message);
   const dispatch::CrashEvidence::Report report =
       state_.crash_evidence.ToTell(now);
   size_t contents = 0;
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -13,7 +13,7 @@
 
 namespace umbertrail::front {
 
-inline constexpr uint32_t kPeerMessageVersion = 7;
+inline constexpr uint32_t kPeerMessageVersion = 8;
 
 // A work item at a target.
 struct PeerWork {
@@ -55,6 +55,8 @@
   MSGPACK_DEFINE_ARRAY(target, born_ms, age_ms, wholes, parts);
 };
 
+inline constexpr uint32_t kNoTrial = 0xffffffff;
+
 // When a target last answered a request with this content completely.
 struct PeerAnswer {
   uint64_t content = 0;
@@ -198,6 +200,10 @@
   std::vector<PeerTarget> targets;
   std::vector<PeerCrash> crashes;
   std::vector<PeerAnswer> answers;
+  // The sender knows when the fleet last tried blocked content; kNoTrial: it
+  // never did.
+  bool knows_last_trial = false;
+  uint32_t last_trial_ms_ago = 0;
   std::vector<PeerDeparture> departures;
   std::vector<PeerLimit> limits;
   std::vector<PeerOutcome> outcomes;
@@ -219,6 +225,8 @@
                        targets,
                        crashes,
                        answers,
+                       knows_last_trial,
+                       last_trial_ms_ago,
                        departures,
                        limits,
                        outcomes,
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -20,10 +20,6 @@
 constexpr absl::Duration kHomesCacheTime = absl::Milliseconds(100);
 // Shorter losses of the links leave connections intact: only new ones fail.
 constexpr absl::Duration kLinkOutage = absl::Seconds(1);
-// Requests with blocked content are tried this long after it was blocked, and
-// again at this interval.
-constexpr absl::Duration kTrialDelay = absl::Seconds(5);
-constexpr absl::Duration kTrialInterval = absl::Minutes(20);
 // Homes per shard, each of which allots its share of a target's rate.
 constexpr int kHomesSharingRate = 2;
 
@@ -54,6 +50,10 @@
       pool(event_loop),
       peer_pool(event_loop),
       fleet_size(StartOf(settings), BootNow()),
+      block_trials(settings.first_start
+                       ? dispatch::BlockTrials::Start::kWithFleet
+                       : dispatch::BlockTrials::Start::kLater,
+                   BootNow()),
       random(std::random_device{}()),
       incarnation(random()) {
   log.SetOnDropped([this] { metrics.CountDroppedLogLine(); });
@@ -420,11 +420,12 @@
 bool State::TakeTrial(const dispatch::RequestContents& contents,
                       absl::Time now) {
   const auto* block = crash_evidence.FindBlock(contents);
-  if (block == nullptr || now < next_trial_) {
+  if (block == nullptr) {
     return false;
   }
   const auto since = blocked_since_.find(block->contents);
-  if (since == blocked_since_.end() || now - since->second < kTrialDelay) {
+  if (since == blocked_since_.end() ||
+      !block_trials.MayTry(since->second, now)) {
     return false;
   }
   // One instance tries for all.
@@ -437,7 +438,8 @@
       return false;
     }
   }
-  next_trial_ = now + kTrialInterval;
+  block_trials.RecordTrial(now);
+  publish_crashes();
   return true;
 }
 
--- a/tests/dispatch/crashing_part_fleet_test.cc
+++ b/tests/dispatch/crashing_part_fleet_test.cc
@@ -1,10 +1,13 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "umbertrail/dispatch/block_trials.h"
 #include "umbertrail/dispatch/crash_detector.h"
 #include "umbertrail/dispatch/shards.h"
 
@@ -16,6 +19,7 @@
 const absl::Duration kGossipInterval = absl::Milliseconds(400);
 const absl::Duration kContact = absl::Seconds(3);
 const absl::Duration kTargetRestart = absl::Seconds(3);
+const absl::Duration kInstanceRestart = absl::Seconds(1);
 constexpr double kDatagramLoss = 0.02;
 // Other targets that an instance connects to when one can't be reached.
 constexpr int kOthersTried = 3;
@@ -95,13 +99,19 @@
   struct Instance {
     CrashDetector detector;
     CrashEvidence evidence;
+    BlockTrials trials{BlockTrials::Start::kWithFleet, kStart};
+    // When this instance first met a block.
+    std::map<std::set<Fingerprint>, absl::Time> blocked_since;
     absl::Time started = kStart - kContact;
     absl::Time cut_until = absl::InfinitePast();
     absl::Time refused_until = absl::InfinitePast();
     absl::Time next_gossip = kStart;
     absl::Time forward_at = absl::InfiniteFuture();
   };
-  using Message = CrashEvidence::Report;
+  struct Message {
+    CrashEvidence::Report evidence;
+    std::optional<absl::Time> last_trial;
+  };
 
   int Below(int end) {
     return std::uniform_int_distribution<int>(0, end - 1)(random_);
@@ -139,7 +149,12 @@
 
   void Send(Request request) {
     Instance& instance = instances_[request.instance];
-    if (instance.evidence.FindBlock(request.contents) != nullptr) {
+    if (instance.started > now_) {
+      return;
+    }
+    const auto* block = instance.evidence.FindBlock(request.contents);
+    if (block != nullptr && !(request.attempt == 1 &&
+                              TakeTrial(request.instance, block->contents))) {
       outcome_.sound_blocked += request.bad ? 0 : 1;
       return;
     }
@@ -158,6 +173,24 @@
     targets_[target].running.push_back(std::move(request));
   }
 
+  // The first instance that is up tries for all.
+  bool TakeTrial(size_t index, const std::set<Fingerprint>& contents) {
+    Instance& instance = instances_[index];
+    const absl::Time since =
+        instance.blocked_since.try_emplace(contents, now_).first->second;
+    for (size_t i = 0; i < index; ++i) {
+      if (instances_[i].started <= now_) {
+        return false;
+      }
+    }
+    if (!instance.trials.MayTry(since, now_)) {
+      return false;
+    }
+    instance.trials.RecordTrial(now_);
+    Tell(index);
+    return true;
+  }
+
   void RunTarget(size_t index) {
     Target& target = targets_[index];
     bool crashes = false;
@@ -264,15 +297,16 @@
   }
 
   Message MessageOf(size_t index) {
-    Message message = instances_[index].evidence.ToTell(now_);
+    Message message{instances_[index].evidence.ToTell(now_),
+                    instances_[index].trials.last()};
+    std::vector<TargetCrash>& crashes = message.evidence.crashes;
     size_t contents = 0;
-    const auto end =
-        std::find_if(message.crashes.begin(), message.crashes.end(),
-                     [&](const TargetCrash& crash) {
-                       contents += crash.wholes.size() + crash.parts.size();
-                       return contents > kMaxContents;
-                     });
-    message.crashes.erase(end, message.crashes.end());
+    const auto end = std::find_if(
+        crashes.begin(), crashes.end(), [&](const TargetCrash& crash) {
+          contents += crash.wholes.size() + crash.parts.size();
+          return contents > kMaxContents;
+        });
+    crashes.erase(end, crashes.end());
     return message;
   }
 
@@ -295,11 +329,17 @@
     arrived.swap(wire_);
     for (const auto& [to, message] : arrived) {
       Instance& instance = instances_[to];
-      for (const AnsweredContent& answer : message.answers) {
+      if (instance.started > now_) {
+        continue;
+      }
+      if (message.last_trial) {
+        instance.trials.Merge(*message.last_trial);
+      }
+      for (const AnsweredContent& answer : message.evidence.answers) {
         instance.evidence.MergeAnswer(answer);
       }
       bool news = false;
-      for (const TargetCrash& crash : message.crashes) {
+      for (const TargetCrash& crash : message.evidence.crashes) {
         news = instance.evidence.Merge(crash, now_) || news;
       }
       if (news && !SmallFleet()) {
@@ -333,8 +373,10 @@
       if (Chance(troubles_.killed)) {
         DropRequestsOf(i);
         instances_[i] = Instance();
-        instances_[i].started = now_;
-        instances_[i].next_gossip = now_;
+        instances_[i].started = now_ + kInstanceRestart;
+        instances_[i].next_gossip = instances_[i].started;
+        instances_[i].trials =
+            BlockTrials(BlockTrials::Start::kLater, instances_[i].started);
       } else if (Chance(troubles_.cut_off)) {
         instances_[i].cut_until = now_ + absl::Seconds(4);
         for (const auto& [target, request] : DropRequestsOf(i)) {
@@ -376,11 +418,13 @@
 constexpr int kMostLateSends = 3;
 
 // Plays fleets of up to `largest` instances.
-void CheckPlays(const Troubles& troubles, int largest) {
+void CheckPlays(const Troubles& troubles,
+                int largest,
+                absl::Duration length = absl::Seconds(20)) {
   const auto [size, seeds] = GENERATE(
       std::make_pair(7, 10u), std::make_pair(59, 1u), std::make_pair(300, 1u));
   for (unsigned seed = 1; size <= largest && seed <= seeds; ++seed) {
-    const Outcome outcome = Fleet(size, troubles, seed).Run(absl::Seconds(20));
+    const Outcome outcome = Fleet(size, troubles, seed).Run(length);
     INFO(size << " instances, seed " << seed << ": " << outcome.crashes
               << " crashes, " << outcome.sound << " sound requests");
     CHECK(outcome.late_sends <= kMostLateSends);
@@ -401,6 +445,13 @@
   CheckPlays(troubles, 300);
 }
 
+TEST_CASE("restarted instances don't try a part that others have tried") {
+  Troubles troubles;
+  troubles.bad_per_s = 20;
+  troubles.killed = 0.3;
+  CheckPlays(troubles, 59, absl::Seconds(75));
+}
+
 TEST_CASE("no part is blocked where a third of the targets crash anyway") {
   Troubles troubles;
   troubles.other_crashes = 0.33;
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -38,6 +38,17 @@
   CHECK_FALSE(DecodeFleetSize(message));
 }
 
+TEST_CASE("the time of the last trial survives encoding and decoding") {
+  const absl::Time now = absl::FromUnixSeconds(5000);
+  PeerMessage message;
+  EncodeLastTrial(std::nullopt, now, &message);
+  CHECK_FALSE(DecodeLastTrial(message, now));
+  EncodeLastTrial(absl::InfinitePast(), now, &message);
+  CHECK(DecodeLastTrial(message, now) == absl::InfinitePast());
+  EncodeLastTrial(now - absl::Seconds(9), now, &message);
+  CHECK(DecodeLastTrial(message, now) == now - absl::Seconds(9));
+}
+
 TEST_CASE("a target's limit survives encoding and decoding") {
   const dispatch::TargetLimit limit{TargetId("t"), 7, 2.5,
                                     kNow - absl::Milliseconds(300)};
