Crashes are kept and told with all that their targets had in hand

A part that crashes targets went on being sent where targets had many parts in hand that few requests share: of one crash 48 parts were kept, those reported first, and a message held 512 contents of crashes, those of the first targets by name.

Change: up to 512 parts and 512 requests of a crash are kept, and a message holds 2,048 contents, the evidence of blocks first and then the latest crashes. Crashes that are old and tell of a block are told with the blocked contents alone, four for each block, so that they leave room for new ones. The limit of a message stands in CrashEvidence now, where the plays of fleets use it instead of a copy.

Tests, failing before: "a part is found among hundreds that crashed targets had in hand"; "a crashing part is found among many that few requests hold" (2 of 11 plays of 7 and 59 instances sent 4 and 5 requests after the bound, allowed 3). "a second crashing part is found while the first is blocked" and "a crash is told beside the evidence of several blocked parts" passed before, too.

--- a/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
+++ b/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
@@ -77,9 +77,9 @@
   // The block that applies to a request; null if none does.
   const Block* FindBlock(const RequestContents& contents);
   const std::vector<Block>& blocks();
-  // What other instances need to come to the same conclusions: crashes that
-  // block content, before others that are recent, and the answers that clear
-  // further contents of these crashes.
+  // What other instances need to come to the same conclusions, as far as it
+  // fits into one message: crashes that block content, before others that are
+  // recent, and the answers that clear further contents of these crashes.
   struct Report {
     std::vector<TargetCrash> crashes;
     std::vector<AnsweredContent> answers;
@@ -89,6 +89,8 @@
  private:
   // Known crashes, without those that are explained.
   static constexpr size_t kMaxCrashes = 64;
+  // Contents of crashes, and likewise answers, in one report.
+  static constexpr size_t kMaxToldContents = 2048;
   using CrashSet = std::bitset<kMaxCrashes>;
   using CrashKey = std::pair<TargetId, int64_t>;
   struct Occurrences;
@@ -112,12 +114,20 @@
       const std::vector<const TargetCrash*>& crashes) const;
   std::vector<CrashKey> KeepSupports(std::vector<const TargetCrash*> supports);
   void LimitCrashes();
+  // The crashes to tell, the most important first.
+  std::vector<const TargetCrash*> CrashesToTell(absl::Time now) const;
+  // Without contents that are cleared, which are added to `cleared`, or that
+  // don't matter for a crash that is old.
+  TargetCrash Condense(const TargetCrash& crash,
+                       absl::Time now,
+                       std::set<Fingerprint>* cleared) const;
 
   std::map<CrashKey, TargetCrash> crashes_;
   // Crashes that blocked content explains and that aren't needed to block it.
   std::map<CrashKey, absl::Time> explained_;
-  // Crashes that support a block.
+  // Crashes that support a block, and some of each block's that are told.
   std::set<CrashKey> supports_;
+  std::set<CrashKey> told_supports_;
   absl::flat_hash_map<Fingerprint, absl::Time> answered_;
   // Contents of known crashes that are not cleared.
   std::set<Fingerprint> suspected_;
--- a/packages/dispatch/src/crash_evidence.cc
+++ b/packages/dispatch/src/crash_evidence.cc
@@ -8,10 +8,11 @@
 namespace umbertrail::dispatch {
 namespace {
 
-// Crashes kept as the evidence of one block.
+// Crashes kept as the evidence of one block, and told to others.
 constexpr size_t kMaxSupports = 16;
+constexpr size_t kMaxToldSupports = 4;
 // Contents kept of one crash, wholes and parts each.
-constexpr size_t kMaxContents = 48;
+constexpr size_t kMaxContents = 512;
 // Contents whose answers are remembered.
 constexpr size_t kMaxAnswered = 16384;
 // Crashes that block nothing are told to others for this long, which reaches
@@ -199,6 +200,7 @@
     return entry.second.crashes.count() < 2;
   });
   supports_.clear();
+  told_supports_.clear();
   std::vector<Block> blocks;
   std::vector<CrashKey> surplus;
   CrashSet remaining;
@@ -291,6 +293,9 @@
   std::vector<CrashKey> surplus;
   for (size_t i = 0; i < supports.size(); ++i) {
     const CrashKey key(supports[i]->target, supports[i]->born_ms);
+    if (i < kMaxToldSupports) {
+      told_supports_.insert(key);
+    }
     if (i < kMaxSupports) {
       supports_.insert(key);
     } else {
@@ -314,35 +319,67 @@
   return blocks_;
 }
 
-CrashEvidence::Report CrashEvidence::ToTell(absl::Time now) {
-  Evaluate();
-  Report report;
-  std::set<Fingerprint> cleared;
+std::vector<const TargetCrash*> CrashEvidence::CrashesToTell(
+    absl::Time now) const {
+  std::vector<const TargetCrash*> told;
   for (const auto& [key, crash] : crashes_) {
-    if (supports_.count(key) == 0 && now - crash.at >= kToldFor) {
-      continue;
+    if (now - crash.at < kToldFor || told_supports_.count(key) > 0) {
+      told.push_back(&crash);
     }
-    TargetCrash told = crash;
-    for (auto* contents : {&told.wholes, &told.parts}) {
-      for (auto it = contents->begin(); it != contents->end();) {
-        if (IsCleared(*it, crash.at)) {
-          cleared.insert(*it);
-          it = contents->erase(it);
-        } else {
-          ++it;
-        }
+  }
+  // Evidence of blocks, then the latest.
+  const auto rank = [&](const TargetCrash* crash) {
+    const bool supports =
+        told_supports_.count({crash->target, crash->born_ms}) > 0;
+    return std::make_tuple(!supports, now - crash->at);
+  };
+  std::stable_sort(told.begin(), told.end(),
+                   [&](const TargetCrash* a, const TargetCrash* b) {
+                     return rank(a) < rank(b);
+                   });
+  return told;
+}
+
+TargetCrash CrashEvidence::Condense(const TargetCrash& crash,
+                                    absl::Time now,
+                                    std::set<Fingerprint>* cleared) const {
+  const bool is_old = now - crash.at >= kToldFor;
+  const auto is_blocked = [&](Fingerprint content) {
+    return std::any_of(blocks_.begin(), blocks_.end(), [&](const Block& block) {
+      return block.contents.count(content) > 0;
+    });
+  };
+  TargetCrash told = crash;
+  for (auto* contents : {&told.wholes, &told.parts}) {
+    for (auto it = contents->begin(); it != contents->end();) {
+      const bool is_cleared = IsCleared(*it, crash.at);
+      if (is_cleared) {
+        cleared->insert(*it);
       }
+      it = is_cleared || (is_old && !is_blocked(*it)) ? contents->erase(it)
+                                                      : std::next(it);
     }
-    if (!told.wholes.empty() || !told.parts.empty()) {
+  }
+  return told;
+}
+
+CrashEvidence::Report CrashEvidence::ToTell(absl::Time now) {
+  Evaluate();
+  Report report;
+  std::set<Fingerprint> cleared;
+  size_t told_contents = 0;
+  for (const TargetCrash* crash : CrashesToTell(now)) {
+    TargetCrash told = Condense(*crash, now, &cleared);
+    const size_t contents = told.wholes.size() + told.parts.size();
+    if (contents > 0 && told_contents + contents <= kMaxToldContents) {
+      told_contents += contents;
       report.crashes.push_back(std::move(told));
     }
   }
-  std::stable_partition(report.crashes.begin(), report.crashes.end(),
-                        [&](const TargetCrash& it) {
-                          return supports_.count({it.target, it.born_ms}) > 0;
-                        });
   for (const Fingerprint content : cleared) {
-    report.answers.push_back({content, answered_.find(content)->second});
+    if (report.answers.size() < kMaxToldContents) {
+      report.answers.push_back({content, answered_.find(content)->second});
+    }
   }
   return report;
 }
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -26,10 +26,8 @@
 constexpr size_t kMembersInSmallFleet = 8;
 // Departures are disseminated for this long, which reaches everyone.
 constexpr absl::Duration kDisseminationTime = absl::Seconds(3);
-// Maximum crashes, and likewise departures, per message.
+// Maximum departures, and likewise limits, per message.
 constexpr size_t kMaxDisseminated = 32;
-// Maximum contents of crashes, and likewise of answers, per message.
-constexpr size_t kMaxContents = 512;
 // An instance that serves requests for others was heard within this time.
 constexpr absl::Duration kStandInHeard = absl::Milliseconds(1500);
 // Crashes that arrive within this time are forwarded together.
@@ -320,19 +318,11 @@
   EncodeLastTrial(state_.block_trials.last(), now, message);
   const dispatch::CrashEvidence::Report report =
       state_.crash_evidence.ToTell(now);
-  size_t contents = 0;
   for (const dispatch::TargetCrash& crash : report.crashes) {
-    contents += crash.wholes.size() + crash.parts.size();
-    if (message->crashes.size() == kMaxDisseminated ||
-        contents > kMaxContents) {
-      break;
-    }
     message->crashes.push_back(ToWire(crash, now));
   }
   for (const dispatch::AnsweredContent& answer : report.answers) {
-    if (message->answers.size() < kMaxContents) {
-      message->answers.push_back(ToWire(answer, now));
-    }
+    message->answers.push_back(ToWire(answer, now));
   }
 }
 
--- a/tests/dispatch/crash_evidence_test.cc
+++ b/tests/dispatch/crash_evidence_test.cc
@@ -117,6 +117,59 @@
   CHECK(evidence.FindBlock(bystander) == nullptr);
 }
 
+TEST_CASE("a part is found among hundreds that crashed targets had in hand") {
+  CrashEvidence evidence;
+  uint64_t next = 5000;
+  for (int crash = 0; crash < 3; ++crash) {
+    // Each report is that of one instance.
+    for (int report = 0; report < 8; ++report) {
+      Parts parts;
+      for (int i = 0; i < 30; ++i) {
+        parts.insert(Fingerprint(next++));
+      }
+      if (report == 7) {
+        parts.insert(kBad);
+      }
+      evidence.Merge(CrashOf(crash, {}, parts), kStart);
+    }
+  }
+  CHECK(evidence.FindBlock(Ask({kBad})) != nullptr);
+}
+
+TEST_CASE("a crash is told beside the evidence of several blocked parts") {
+  CrashEvidence evidence;
+  uint64_t next = 5000;
+  int target = 0;
+  const auto crash_with = [&](Fingerprint part, absl::Time at) {
+    TargetCrash crash = CrashOf(target++, {}, {part});
+    crash.at = at;
+    for (int i = 0; i < 30; ++i) {
+      crash.wholes.insert(Fingerprint(next++));
+    }
+    evidence.Merge(crash, at);
+  };
+  for (uint64_t part = 2; part < 5; ++part) {
+    for (int i = 0; i < 16; ++i) {
+      crash_with(Fingerprint(part), kStart);
+    }
+    REQUIRE(evidence.FindBlock(Ask({Fingerprint(part)})) != nullptr);
+  }
+  const absl::Time later = kStart + absl::Minutes(1);
+  crash_with(Fingerprint(9), later);
+  CrashEvidence told;
+  for (const TargetCrash& crash : evidence.ToTell(later).crashes) {
+    told.Merge(crash, later);
+  }
+  for (uint64_t part = 2; part < 5; ++part) {
+    CHECK(told.FindBlock(Ask({Fingerprint(part)})) != nullptr);
+  }
+  // Two more are enough where the first was told.
+  for (int i = 0; i < 2; ++i) {
+    told.Merge(CrashOf(target++, {}, {Fingerprint(9)}), later);
+  }
+  CHECK(told.FindBlock(Ask({Fingerprint(9)})) != nullptr);
+}
+
 TEST_CASE("two parts that crash targets are both blocked") {
   CrashEvidence evidence;
   const Fingerprint other(4);
--- a/tests/dispatch/crashing_part_fleet_test.cc
+++ b/tests/dispatch/crashing_part_fleet_test.cc
@@ -23,11 +23,10 @@
 constexpr double kDatagramLoss = 0.02;
 // Other targets that an instance connects to when one can't be reached.
 constexpr int kOthersTried = 3;
-// Contents that fit into one message.
-constexpr size_t kMaxContents = 512;
 
 const Fingerprint kSystemPart(1);
 const Fingerprint kBadPart(2);
+const Fingerprint kSecondBadPart(3);
 
 struct Troubles {
   double bad_per_s = 0;
@@ -42,6 +41,10 @@
   double refused = 0;
   // Share of the answers that end with their connection.
   double unframed = 0;
+  // Parts of each prompt that few other requests hold.
+  int rare_parts = 0;
+  // Bad requests hold another crashing part from this time on.
+  absl::Duration second_part_after = absl::InfiniteDuration();
 };
 
 struct Outcome {
@@ -137,8 +140,11 @@
                       : Below(20 * static_cast<int>(targets_.size())));
       request.contents = {Fingerprint(next_request_++),
                           {kSystemPart, Fingerprint(100 + document)}};
+      for (int part = 0; part < troubles_.rare_parts; ++part) {
+        request.contents.parts.emplace_back(next_part_++);
+      }
       if (bad) {
-        request.contents.parts.push_back(kBadPart);
+        request.contents.parts.push_back(BadPart());
       }
       request.instance =
           static_cast<size_t>(Below(static_cast<int>(instances_.size())));
@@ -147,6 +153,11 @@
     }
   }
 
+  Fingerprint BadPart() const {
+    return now_ < kStart + troubles_.second_part_after ? kBadPart
+                                                       : kSecondBadPart;
+  }
+
   void Send(Request request) {
     Instance& instance = instances_[request.instance];
     if (instance.started > now_) {
@@ -164,7 +175,7 @@
       Detect(request.instance);
       return;
     }
-    if (request.bad && now_ > fifth_crash_ + kContact &&
+    if (request.bad && now_ > FifthCrash(request) + kContact &&
         now_ > instance.started + kContact) {
       ++outcome_.late_sends;
     }
@@ -201,6 +212,10 @@
         continue;
       }
       if (it->bad) {
+        if (!crashes) {
+          ++outcome_.crashes;
+          CountCrash(it->contents.parts.back());
+        }
         crashes = true;
         ++it;
         continue;
@@ -213,13 +228,22 @@
       it = target.running.erase(it);
     }
     if (crashes) {
-      if (++outcome_.crashes == 5) {
-        fifth_crash_ = now_;
-      }
       Crash(index);
     }
   }
 
+  void CountCrash(Fingerprint part) {
+    if (++crashes_of_[part] == 5) {
+      fifth_crash_[part] = now_;
+    }
+  }
+
+  // Under the part that crashes targets, which is a bad request's last.
+  absl::Time FifthCrash(const Request& request) const {
+    const auto found = fifth_crash_.find(request.contents.parts.back());
+    return found == fifth_crash_.end() ? absl::InfiniteFuture() : found->second;
+  }
+
   void Crash(size_t index) {
     Target& target = targets_[index];
     target.up_at = now_ + kTargetRestart;
@@ -297,17 +321,8 @@
   }
 
   Message MessageOf(size_t index) {
-    Message message{instances_[index].evidence.ToTell(now_),
-                    instances_[index].trials.last()};
-    std::vector<TargetCrash>& crashes = message.evidence.crashes;
-    size_t contents = 0;
-    const auto end = std::find_if(
-        crashes.begin(), crashes.end(), [&](const TargetCrash& crash) {
-          contents += crash.wholes.size() + crash.parts.size();
-          return contents > kMaxContents;
-        });
-    crashes.erase(end, crashes.end());
-    return message;
+    return {instances_[index].evidence.ToTell(now_),
+            instances_[index].trials.last()};
   }
 
   void Tell(size_t index) {
@@ -409,8 +424,10 @@
   std::vector<Target> targets_;
   std::vector<std::pair<size_t, Message>> wire_;
   absl::Time now_;
-  absl::Time fifth_crash_ = absl::InfiniteFuture();
+  std::map<Fingerprint, int> crashes_of_;
+  std::map<Fingerprint, absl::Time> fifth_crash_;
   uint64_t next_request_ = 1000000;
+  uint64_t next_part_ = uint64_t{1} << 32;
   Outcome outcome_;
 };
 
@@ -452,6 +469,21 @@
   CheckPlays(troubles, 59, absl::Seconds(75));
 }
 
+TEST_CASE("a crashing part is found among many that few requests hold") {
+  Troubles troubles;
+  troubles.bad_per_s = 3;
+  troubles.rare_parts = 30;
+  CheckPlays(troubles, 59);
+}
+
+TEST_CASE("a second crashing part is found while the first is blocked") {
+  Troubles troubles;
+  troubles.bad_per_s = 20;
+  troubles.rare_parts = 30;
+  troubles.second_part_after = absl::Seconds(12);
+  CheckPlays(troubles, 59, absl::Seconds(25));
+}
+
 TEST_CASE("no part is blocked where a third of the targets crash anyway") {
   Troubles troubles;
   troubles.other_crashes = 0.33;
