A blocked part stays blocked while targets crash for other reasons

Requests with a part that had been blocked were sent again after a while: in plays of fleets where targets crash for other reasons too, up to ten after the bound (three are allowed).

Cause: all known crashes were explained anew at each change, by the most frequent content first. A blocked part gathers no more crashes, other contents do by chance, and their explanation took its evidence away. Besides, of 64 known crashes those that show a bystander's repeated request took nearly all places for an hour, and the evidence of a part was dropped in no order.

Change: what was blocked keeps its evidence as long as no answer clears it; parts of it that occur in crashes without the others are split off. New content needs two crashes that nothing else explains. 256 crashes are kept, and when there are more, those of whole requests go before those of parts. A crash that shows no part yet is told with all its parts.

Ruled out: kills alone, and a second part (no play failed).

--- a/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
+++ b/packages/dispatch/include/umbertrail/dispatch/crash_evidence.h
@@ -88,31 +88,51 @@
 
  private:
   // Known crashes, without those that are explained.
-  static constexpr size_t kMaxCrashes = 64;
+  static constexpr size_t kMaxCrashes = 256;
   // Contents of crashes, and likewise answers, in one report.
   static constexpr size_t kMaxToldContents = 2048;
   using CrashSet = std::bitset<kMaxCrashes>;
   using CrashKey = std::pair<TargetId, int64_t>;
   struct Occurrences;
   using OccurrencesByContent = absl::flat_hash_map<Fingerprint, Occurrences>;
+  // What a crash is evidence for.
+  enum class Support { kNone, kRequest, kPart };
+  // The state of one evaluation.
+  struct Evaluation {
+    std::vector<const TargetCrash*> crashes;
+    OccurrencesByContent occurrences;
+    std::vector<Block> former;
+    // Crashes that no block explains yet.
+    CrashSet remaining;
+    // Crashes beyond those needed as evidence.
+    std::vector<CrashKey> surplus;
+  };
 
   // True if an answer speaks for the content in a crash at that time.
   bool IsCleared(Fingerprint content, absl::Time crash_at) const;
   bool IsExplained(const TargetCrash& crash) const;
-  // Finds out what to block, the most frequent content first.
+  // Finds out what to block: what was blocked before, then the most frequent
+  // content.
   void Evaluate();
+  void KeepBlock(const Block& block, Evaluation* evaluation);
+  void AddBlock(std::set<Fingerprint> contents,
+                const CrashSet& explained,
+                Support support,
+                Evaluation* evaluation);
   static OccurrencesByContent::const_iterator MostFrequent(
-      const OccurrencesByContent& occurrences,
-      const CrashSet& remaining);
+      const Evaluation& evaluation);
   static std::set<Fingerprint> OccurringWith(
       const OccurrencesByContent::value_type& top,
       const OccurrencesByContent& occurrences,
       const CrashSet& explained);
-  absl::Time LastCrashOf(const std::set<Fingerprint>& contents,
-                         const std::vector<const TargetCrash*>& supports) const;
+  static absl::Time LastCrashOf(
+      const std::set<Fingerprint>& contents,
+      const std::vector<Block>& former,
+      const std::vector<const TargetCrash*>& supports);
   OccurrencesByContent CountOccurrences(
       const std::vector<const TargetCrash*>& crashes) const;
-  std::vector<CrashKey> KeepSupports(std::vector<const TargetCrash*> supports);
+  std::vector<CrashKey> KeepSupports(std::vector<const TargetCrash*> supports,
+                                     Support support);
   void LimitCrashes();
   // The crashes to tell, the most important first.
   std::vector<const TargetCrash*> CrashesToTell(absl::Time now) const;
@@ -126,7 +146,7 @@
   // Crashes that blocked content explains and that aren't needed to block it.
   std::map<CrashKey, absl::Time> explained_;
   // Crashes that support a block, and some of each block's that are told.
-  std::set<CrashKey> supports_;
+  std::map<CrashKey, Support> supports_;
   std::set<CrashKey> told_supports_;
   absl::flat_hash_map<Fingerprint, absl::Time> answered_;
   // Contents of known crashes that are not cleared.
--- a/packages/dispatch/src/crash_evidence.cc
+++ b/packages/dispatch/src/crash_evidence.cc
@@ -18,6 +18,8 @@
 // Crashes that block nothing are told to others for this long, which reaches
 // everyone.
 constexpr absl::Duration kToldFor = absl::Seconds(5);
+// Crashes that no other block explains, before content is blocked.
+constexpr int kMinUnexplained = 2;
 // With this many crashes, contents that occur in all but one of them count as
 // occurring in all: the report of one may be lost.
 constexpr int kMinCrashesWithSlack = 4;
@@ -49,10 +51,13 @@
   CrashSet crashes;
   bool is_whole = false;
 
-  // Number among `remaining` crashes; 0 if too few to block the content.
+  // Number among `remaining` crashes, those that no other block explains; 0 if
+  // too few to block the content.
   int Count(const CrashSet& remaining) const {
     const int count = static_cast<int>((crashes & remaining).count());
-    return count >= (is_whole ? kMinCrashesOfRequest : kMinCrashesOfPart)
+    const int total = static_cast<int>(crashes.count());
+    return count >= kMinUnexplained && total >= (is_whole ? kMinCrashesOfRequest
+                                                          : kMinCrashesOfPart)
                ? count
                : 0;
   }
@@ -91,15 +96,17 @@
 }
 
 void CrashEvidence::LimitCrashes() {
+  // Least important first: crashes that block nothing, then the older ones.
+  const auto rank = [&](const auto& entry) {
+    const auto support = supports_.find(entry.first);
+    return std::make_pair(
+        support == supports_.end() ? Support::kNone : support->second,
+        entry.second.at);
+  };
   while (crashes_.size() > kMaxCrashes) {
-    auto oldest = crashes_.end();
-    for (auto it = crashes_.begin(); it != crashes_.end(); ++it) {
-      if (supports_.count(it->first) == 0 &&
-          (oldest == crashes_.end() || it->second.at < oldest->second.at)) {
-        oldest = it;
-      }
-    }
-    crashes_.erase(oldest == crashes_.end() ? crashes_.begin() : oldest);
+    crashes_.erase(std::min_element(
+        crashes_.begin(), crashes_.end(),
+        [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
   }
 }
 
@@ -199,43 +206,88 @@
   absl::erase_if(occurrences, [](const auto& entry) {
     return entry.second.crashes.count() < 2;
   });
+  const std::vector<Block> former = std::move(blocks_);
+  blocks_.clear();
   supports_.clear();
   told_supports_.clear();
-  std::vector<Block> blocks;
-  std::vector<CrashKey> surplus;
-  CrashSet remaining;
-  remaining.set();
-  for (auto top = MostFrequent(occurrences, remaining);
-       top != occurrences.end(); top = MostFrequent(occurrences, remaining)) {
-    const CrashSet explained = top->second.crashes & remaining;
-    std::vector<const TargetCrash*> supports;
-    for (size_t i = 0; i < crashes.size(); ++i) {
-      if (explained.test(i)) {
-        supports.push_back(crashes[i]);
-      }
-    }
-    Block block;
-    block.contents = OccurringWith(*top, occurrences, explained);
-    block.last_crash = LastCrashOf(block.contents, supports);
-    blocks.push_back(std::move(block));
-    for (CrashKey& key : KeepSupports(std::move(supports))) {
-      surplus.push_back(std::move(key));
-    }
-    remaining &= ~explained;
+  Evaluation evaluation{
+      std::move(crashes), std::move(occurrences), former, CrashSet().set(), {}};
+  for (const Block& block : former) {
+    KeepBlock(block, &evaluation);
+  }
+  for (auto top = MostFrequent(evaluation); top != evaluation.occurrences.end();
+       top = MostFrequent(evaluation)) {
+    const CrashSet explained = top->second.crashes & evaluation.remaining;
+    AddBlock(OccurringWith(*top, evaluation.occurrences, explained), explained,
+             top->second.is_whole ? Support::kRequest : Support::kPart,
+             &evaluation);
   }
-  blocks_ = std::move(blocks);
-  for (const CrashKey& key : surplus) {
+  for (const CrashKey& key : evaluation.surplus) {
     explained_[key] = crashes_[key].at;
     crashes_.erase(key);
   }
 }
 
+// A block of parts stays, unless answers clear its contents. As requests with
+// these are sent no more, no crash adds to its evidence, while other contents
+// gather crashes by chance. Parts that occur in crashes without the others of
+// the block are blocked by themselves.
+void CrashEvidence::KeepBlock(const Block& block, Evaluation* evaluation) {
+  std::set<Fingerprint> contents;
+  CrashSet together = evaluation->remaining;
+  for (const Fingerprint content : block.contents) {
+    const auto found = evaluation->occurrences.find(content);
+    if (found != evaluation->occurrences.end() && !found->second.is_whole) {
+      contents.insert(content);
+      together &= found->second.crashes;
+    }
+  }
+  if (contents.empty() ||
+      static_cast<int>(together.count()) < kMinCrashesOfPart) {
+    return;
+  }
+  bool is_split = false;
+  for (const Fingerprint content : contents) {
+    const CrashSet with_content =
+        evaluation->occurrences.at(content).crashes & evaluation->remaining;
+    if (static_cast<int>((with_content & ~together).count()) >=
+        kMinUnexplained) {
+      is_split = true;
+      AddBlock({content}, with_content, Support::kPart, evaluation);
+    }
+  }
+  if (!is_split) {
+    AddBlock(std::move(contents), together, Support::kPart, evaluation);
+  }
+}
+
+void CrashEvidence::AddBlock(std::set<Fingerprint> contents,
+                             const CrashSet& explained,
+                             Support support,
+                             Evaluation* evaluation) {
+  std::vector<const TargetCrash*> supports;
+  for (size_t i = 0; i < evaluation->crashes.size(); ++i) {
+    if (explained.test(i)) {
+      supports.push_back(evaluation->crashes[i]);
+    }
+  }
+  Block block;
+  block.contents = std::move(contents);
+  block.last_crash = LastCrashOf(block.contents, evaluation->former, supports);
+  blocks_.push_back(std::move(block));
+  for (CrashKey& key : KeepSupports(std::move(supports), support)) {
+    evaluation->surplus.push_back(std::move(key));
+  }
+  evaluation->remaining &= ~explained;
+}
+
 // The content that explains most of the remaining crashes, if enough to block
 // it. Of equals, a request as a whole comes first: its parts may be harmless
 // elsewhere.
 CrashEvidence::OccurrencesByContent::const_iterator CrashEvidence::MostFrequent(
-    const OccurrencesByContent& occurrences,
-    const CrashSet& remaining) {
+    const Evaluation& evaluation) {
+  const OccurrencesByContent& occurrences = evaluation.occurrences;
+  const CrashSet& remaining = evaluation.remaining;
   const auto rank = [&](const auto& entry) {
     return std::make_tuple(entry.second.Count(remaining), entry.second.is_whole,
                            entry.first);
@@ -270,12 +322,13 @@
 // Includes crashes that were dropped since these contents were blocked.
 absl::Time CrashEvidence::LastCrashOf(
     const std::set<Fingerprint>& contents,
-    const std::vector<const TargetCrash*>& supports) const {
+    const std::vector<Block>& former,
+    const std::vector<const TargetCrash*>& supports) {
   absl::Time last = absl::InfinitePast();
   for (const TargetCrash* crash : supports) {
     last = std::max(last, crash->at);
   }
-  for (const Block& before : blocks_) {
+  for (const Block& before : former) {
     if (before.contents == contents) {
       last = std::max(last, before.last_crash);
     }
@@ -285,7 +338,8 @@
 
 // Keeps the earliest crashes as evidence of a block and returns the others.
 std::vector<CrashEvidence::CrashKey> CrashEvidence::KeepSupports(
-    std::vector<const TargetCrash*> supports) {
+    std::vector<const TargetCrash*> supports,
+    Support support) {
   std::sort(supports.begin(), supports.end(),
             [](const TargetCrash* a, const TargetCrash* b) {
               return std::tie(a->at, a->target) < std::tie(b->at, b->target);
@@ -297,7 +351,7 @@
       told_supports_.insert(key);
     }
     if (i < kMaxSupports) {
-      supports_.insert(key);
+      supports_[key] = support;
     } else {
       surplus.push_back(key);
     }
@@ -343,7 +397,11 @@
 TargetCrash CrashEvidence::Condense(const TargetCrash& crash,
                                     absl::Time now,
                                     std::set<Fingerprint>* cleared) const {
-  const bool is_old = now - crash.at >= kToldFor;
+  const auto support = supports_.find({crash.target, crash.born_ms});
+  // Parts of a crash that shows no part yet may come up again.
+  const bool only_blocked = now - crash.at >= kToldFor &&
+                            support != supports_.end() &&
+                            support->second == Support::kPart;
   const auto is_blocked = [&](Fingerprint content) {
     return std::any_of(blocks_.begin(), blocks_.end(), [&](const Block& block) {
       return block.contents.count(content) > 0;
@@ -356,8 +414,9 @@
       if (is_cleared) {
         cleared->insert(*it);
       }
-      it = is_cleared || (is_old && !is_blocked(*it)) ? contents->erase(it)
-                                                      : std::next(it);
+      it = is_cleared || (only_blocked && !is_blocked(*it))
+               ? contents->erase(it)
+               : std::next(it);
     }
   }
   return told;
--- a/tests/dispatch/crashing_part_fleet_test.cc
+++ b/tests/dispatch/crashing_part_fleet_test.cc
@@ -476,6 +476,25 @@
   CheckPlays(troubles, 59);
 }
 
+TEST_CASE("a part stays blocked while targets crash for other reasons") {
+  Troubles troubles;
+  troubles.bad_per_s = GENERATE(3.0, 20.0);
+  troubles.other_crashes = 0.2;
+  troubles.killed = 0.1;
+  CheckPlays(troubles, 59, absl::Seconds(40));
+}
+
+TEST_CASE("a crashing part is found under all troubles together") {
+  Troubles troubles;
+  troubles.bad_per_s = GENERATE(0.3, 3.0, 20.0);
+  troubles.other_crashes = 0.1;
+  troubles.killed = 0.2;
+  troubles.cut_off = 0.2;
+  troubles.refused = 0.1;
+  troubles.unframed = 0.2;
+  CheckPlays(troubles, 59, absl::Seconds(40));
+}
+
 TEST_CASE("a second crashing part is found while the first is blocked") {
   Troubles troubles;
   troubles.bad_per_s = 20;
