Logbook: responses that ended too early are named in words

`umbertrail logs` printed the bare names ended_in_event and ended_by_crash as the cause of a failed request. The test "a response that ended too early states how" failed before.

--- a/packages/logbook/src/cause.cc
+++ b/packages/logbook/src/cause.cc
@@ -52,7 +52,7 @@
   absl::string_view text;
 };
 
-constexpr std::array<Phrase, 8> kFailurePhrases = {{
+constexpr std::array<Phrase, 10> kFailurePhrases = {{
     {"not_connected", "could not be connected to"},
     {"no_answer", "sent no response"},
     {"broken_off", "sent an incomplete response"},
@@ -61,6 +61,8 @@
     {"not_run", "rejected it as busy without running it"},
     {"unusable", "sent a response that does not continue the stream"},
     {"server_error", "returned a server error"},
+    {"ended_in_event", "ended its stream inside an event"},
+    {"ended_by_crash", "was down when its response had ended"},
 }};
 
 constexpr std::array<Phrase, 5> kNoRetryPhrases = {{
--- a/tests/logbook/story_test.cc
+++ b/tests/logbook/story_test.cc
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <utility>
 
 namespace umbertrail::logbook {
 namespace {
@@ -88,6 +89,25 @@
   CHECK_THAT(report->cause, Contains("returned a server error (500)"));
 }
 
+TEST_CASE("a response that ended too early states how") {
+  const auto [how, text] = GENERATE(
+      std::make_pair("ended_in_event", "t ended its stream inside an event"),
+      std::make_pair("ended_by_crash", "t was down when its response had"));
+  const std::string failed =
+      std::string(R"({"t_ms":1,"instance":"a","event":"attempt_failed",)") +
+      R"("request":"r","target":"t","after_ms":9,"how":")" + how + "\"}\n";
+  const MergedLog log = ParseLog(
+      failed + R"({"t_ms":2,"instance":"a","event":"refused","request":"r",)"
+               R"("why":"target_failed","status":502})"
+               "\n"
+               R"({"t_ms":3,"instance":"a","event":"ended","request":"r",)"
+               R"("outcome":"refused","target_status":0})"
+               "\n");
+  const auto report = LogAnalyser(&log).Find("r");
+  REQUIRE(report);
+  CHECK_THAT(report->cause, Contains(text));
+}
+
 TEST_CASE("a request that no line names has no report") {
   const MergedLog log = RecordedLog();
   CHECK_FALSE(LogAnalyser(&log).Find("nobody"));
