Log and count how the end of a response is judged

Hypotheses of the incident (end not checked, checked wrongly, cut not visible) could not be told apart from the log: neither that a response ended with its connection, nor whether its target was asked, the answer and the time that took were written. end_judged names all of these, umbertrail_response_ends_total counts them. The decision itself moves, unchanged, from the relay into dispatch::JudgeEnd, testable without sockets.

--- /dev/null
+++ b/packages/dispatch/include/umbertrail/dispatch/response_end.h
@@ -0,0 +1,53 @@
+#ifndef UMBERTRAIL_DISPATCH_RESPONSE_END_H_
+#define UMBERTRAIL_DISPATCH_RESPONSE_END_H_
+
+#include "absl/strings/string_view.h"
+
+// Decides whether a response that has ended is complete. Only a stated length
+// or chunked coding shows that by itself; a response that ends with its
+// connection looks the same whether its sender has finished or crashed.
+
+namespace umbertrail::dispatch {
+
+// What is known of the target's process after the end of its response.
+enum class ProcessState {
+  // Nobody asked.
+  kNotAsked,
+  // It answered a question that was sent after the end.
+  kAlive,
+  // It is gone.
+  kEnded,
+  // Neither it nor any other target that was tried can be reached, or it gave
+  // no
+  // answer in time.
+  kUnknown,
+};
+
+absl::string_view NameOf(ProcessState state);
+
+struct ResponseEnd {
+  // Neither a length nor chunked coding marked the end.
+  bool ends_with_connection = false;
+  // The target stated the length, and all bytes have arrived.
+  bool has_stated_length = false;
+  bool is_stream = false;
+  // A stream's last event is incomplete.
+  bool is_inside_event = false;
+  ProcessState process = ProcessState::kNotAsked;
+};
+
+enum class EndVerdict {
+  kComplete,
+  // The stream ended within an event.
+  kEndedInEvent,
+  // The process that sent the response ended with it.
+  kEndedByCrash,
+};
+
+absl::string_view NameOf(EndVerdict verdict);
+
+EndVerdict JudgeEnd(const ResponseEnd& end);
+
+}  // namespace umbertrail::dispatch
+
+#endif  // UMBERTRAIL_DISPATCH_RESPONSE_END_H_
--- /dev/null
+++ b/packages/dispatch/src/response_end.cc
@@ -0,0 +1,41 @@
+#include "umbertrail/dispatch/response_end.h"
+
+namespace umbertrail::dispatch {
+
+absl::string_view NameOf(ProcessState state) {
+  switch (state) {
+    case ProcessState::kNotAsked:
+      return "not_asked";
+    case ProcessState::kAlive:
+      return "alive";
+    case ProcessState::kEnded:
+      return "ended";
+    case ProcessState::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+absl::string_view NameOf(EndVerdict verdict) {
+  switch (verdict) {
+    case EndVerdict::kComplete:
+      return "complete";
+    case EndVerdict::kEndedInEvent:
+      return "ended_in_event";
+    case EndVerdict::kEndedByCrash:
+      return "ended_by_crash";
+  }
+  return "";
+}
+
+EndVerdict JudgeEnd(const ResponseEnd& end) {
+  if (end.is_stream && end.is_inside_event && !end.has_stated_length) {
+    return EndVerdict::kEndedInEvent;
+  }
+  if (end.ends_with_connection && end.process == ProcessState::kEnded) {
+    return EndVerdict::kEndedByCrash;
+  }
+  return EndVerdict::kComplete;
+}
+
+}  // namespace umbertrail::dispatch
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -35,6 +35,8 @@
                     absl::Duration took);
   void CountRefusal(absl::string_view reason, bool may_have_run);
   void CountAttempt(absl::string_view result);
+  // Counts the end of a response that its framing doesn't prove complete.
+  void CountResponseEnd(absl::string_view process, absl::string_view verdict);
   // Counts a retry asked of the shared budget.
   void CountRetry(bool granted);
   // Records the time from a request's arrival to its stream's first event.
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 #include "platform/request_codec.h"
 #include "umbertrail/dispatch/admission.h"
+#include "umbertrail/dispatch/response_end.h"
 #include "umbertrail/front/memory_reservation.h"
 #include "umbertrail/front/placer.h"
 #include "umbertrail/front/state.h"
@@ -59,6 +60,12 @@
   // the target crashed.
   void CheckEnd();
   void OnEndChecked(State::Reachability reachability);
+  // Completes the response, or retries, by what is known of its end.
+  void OnEndJudged(dispatch::ProcessState process);
+  // One line for each end that framing doesn't prove complete.
+  void LogEnd(const dispatch::ResponseEnd& end, dispatch::EndVerdict verdict);
+  // The stream received so far ends within an event.
+  bool IsInsideEvent() const;
   bool TargetMayServe() const;
   // Takes note of a target's response. It is certain to be complete, or the end
   // of its connection may have been a crash.
@@ -172,6 +179,8 @@
   // Targets not to be used as helpers for this request.
   std::vector<TargetId> excluded_helpers_;
   absl::Time sent_at_;
+  // End of the current attempt's response.
+  absl::Time ended_at_;
   absl::Duration predicted_first_event_;
   ResponseMode response_mode_ = ResponseMode::kUndecided;
   // The target stated the length of its stream, and so where it ends.
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -56,6 +56,13 @@
           .Name("umbertrail_attempts_total")
           .Help("Requests sent to targets, by how that ended")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& response_ends =
+      prometheus::BuildCounter()
+          .Name("umbertrail_response_ends_total")
+          .Help(
+              "Responses that no length and no chunk proves complete, by what "
+              "is known of the target's process and by verdict")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& retries =
       prometheus::BuildCounter()
           .Name("umbertrail_retries_total")
@@ -124,6 +131,13 @@
       .Observe(absl::ToDoubleSeconds(after));
 }
 
+void Metrics::CountResponseEnd(absl::string_view process,
+                               absl::string_view verdict) {
+  families_->response_ends
+      .Add({{"process", Copy(process)}, {"verdict", Copy(verdict)}})
+      .Increment();
+}
+
 void Metrics::CountRetry(bool granted) {
   families_->retries.Add({{"result", granted ? "granted" : "denied"}})
       .Increment();
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -236,27 +236,23 @@
     return;
   }
   may_have_run_ = true;
-  if (response_mode_ == ResponseMode::kStream && !has_stated_length_ &&
-      framer_.has_incomplete_event()) {
-    RecordFailedResponse("ended_in_event", now);
-    if (peer_.empty()) {
-      state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
-    }
-    RetryOrRefuse(Refusal::kTargetFailed);
-    return;
-  }
+  ended_at_ = now;
   if (response_mode_ == ResponseMode::kDiscard) {
     RecordFailedResponse("unusable", now);
     RetryOrRefuse(Refusal::kTargetFailed);
     return;
   }
-  if (!peer_.empty()) {
-    CompleteResponse();
-  } else if (response_head_.ends_with_connection && TargetMayServe()) {
+  if (response_head_.ends_with_connection && !IsInsideEvent() &&
+      peer_.empty() && TargetMayServe()) {
     CheckEnd();
-  } else {
-    CompleteTargetResponse(!response_head_.ends_with_connection);
+    return;
   }
+  OnEndJudged(dispatch::ProcessState::kNotAsked);
+}
+
+bool Relay::IsInsideEvent() const {
+  return response_mode_ == ResponseMode::kStream &&
+         framer_.has_incomplete_event();
 }
 
 bool Relay::TargetMayServe() const {
@@ -276,12 +272,64 @@
 }
 
 void Relay::OnEndChecked(State::Reachability reachability) {
-  if (reachability == State::Reachability::kUnreachable) {
-    RecordFailedResponse("ended_by_crash", BootNow());
-    RetryOrRefuse(Refusal::kTargetFailed);
+  switch (reachability) {
+    case State::Reachability::kReachable:
+      OnEndJudged(dispatch::ProcessState::kAlive);
+      return;
+    case State::Reachability::kUnreachable:
+      OnEndJudged(dispatch::ProcessState::kEnded);
+      return;
+    case State::Reachability::kUnknown:
+      OnEndJudged(dispatch::ProcessState::kUnknown);
+      return;
+  }
+}
+
+void Relay::OnEndJudged(dispatch::ProcessState process) {
+  dispatch::ResponseEnd end;
+  end.ends_with_connection = response_head_.ends_with_connection;
+  end.has_stated_length = has_stated_length_;
+  end.is_stream = response_mode_ == ResponseMode::kStream;
+  end.is_inside_event = IsInsideEvent();
+  end.process = process;
+  const dispatch::EndVerdict verdict = dispatch::JudgeEnd(end);
+  LogEnd(end, verdict);
+  if (verdict == dispatch::EndVerdict::kComplete) {
+    if (peer_.empty()) {
+      CompleteTargetResponse(!end.ends_with_connection ||
+                             process == dispatch::ProcessState::kAlive);
+    } else {
+      CompleteResponse();
+    }
     return;
   }
-  CompleteTargetResponse(reachability == State::Reachability::kReachable);
+  const absl::Time now = BootNow();
+  RecordFailedResponse(dispatch::NameOf(verdict), now);
+  if (peer_.empty() && process == dispatch::ProcessState::kNotAsked) {
+    state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
+  }
+  RetryOrRefuse(Refusal::kTargetFailed);
+}
+
+void Relay::LogEnd(const dispatch::ResponseEnd& end,
+                   dispatch::EndVerdict verdict) {
+  if (!end.ends_with_connection && verdict == dispatch::EndVerdict::kComplete) {
+    return;  // Its framing shows that it is complete.
+  }
+  const absl::Time now = BootNow();
+  state_.metrics.CountResponseEnd(dispatch::NameOf(end.process),
+                                  dispatch::NameOf(verdict));
+  state_.log.Write(EventLog::Level::kNormal, "end_judged",
+                   {{"request", facts_.id.text()},
+                    {"target", target_.text()},
+                    {"with_connection", end.ends_with_connection},
+                    {"stream", end.is_stream},
+                    {"in_event", end.is_inside_event},
+                    {"process", dispatch::NameOf(end.process)},
+                    {"asked_us", absl::ToInt64Microseconds(now - ended_at_)},
+                    {"may_serve", TargetMayServe()},
+                    {"verdict", dispatch::NameOf(verdict)}},
+                   now);
 }
 
 void Relay::CompleteTargetResponse(bool is_certain) {
--- /dev/null
+++ b/tests/dispatch/response_end_test.cc
@@ -0,0 +1,52 @@
+#include "umbertrail/dispatch/response_end.h"
+
+#include <catch2/catch.hpp>
+
+namespace umbertrail::dispatch {
+namespace {
+
+ResponseEnd EndWithConnection(ProcessState process) {
+  ResponseEnd end;
+  end.ends_with_connection = true;
+  end.process = process;
+  return end;
+}
+
+TEST_CASE("a response that its framing proves complete is complete") {
+  ResponseEnd end;
+  end.is_stream = GENERATE(false, true);
+  CHECK(JudgeEnd(end) == EndVerdict::kComplete);
+}
+
+TEST_CASE("a stream that ends inside an event is broken off") {
+  ResponseEnd end =
+      EndWithConnection(GENERATE(ProcessState::kNotAsked, ProcessState::kAlive,
+                                 ProcessState::kEnded, ProcessState::kUnknown));
+  end.ends_with_connection = GENERATE(false, true);
+  end.is_stream = true;
+  end.is_inside_event = true;
+  CHECK(JudgeEnd(end) == EndVerdict::kEndedInEvent);
+}
+
+TEST_CASE("a stream of the length that its target stated is complete") {
+  ResponseEnd end;
+  end.is_stream = true;
+  end.is_inside_event = true;
+  end.has_stated_length = true;
+  CHECK(JudgeEnd(end) == EndVerdict::kComplete);
+}
+
+TEST_CASE("a response whose process ended with it is broken off") {
+  ResponseEnd end = EndWithConnection(ProcessState::kEnded);
+  end.is_stream = GENERATE(false, true);
+  CHECK(JudgeEnd(end) == EndVerdict::kEndedByCrash);
+}
+
+TEST_CASE("a response whose process lives on is complete") {
+  ResponseEnd end = EndWithConnection(ProcessState::kAlive);
+  end.is_stream = GENERATE(false, true);
+  CHECK(JudgeEnd(end) == EndVerdict::kComplete);
+}
+
+}  // namespace
+}  // namespace umbertrail::dispatch
--- a/tests/front/metrics_test.cc
+++ b/tests/front/metrics_test.cc
@@ -15,6 +15,7 @@
   metrics.ObserveFirstEvent(Tokens(182000), absl::Seconds(2));
   metrics.CountRetry(true);
   metrics.CountRetry(false);
+  metrics.CountResponseEnd("alive", "complete");
   Gauges gauges;
   gauges.config_age = absl::Milliseconds(1500);
   gauges.ready = true;
@@ -25,6 +26,9 @@
   CHECK_THAT(text, Catch::Contains("reason=\"overloaded\"} 1"));
   CHECK_THAT(text, Catch::Contains("result=\"granted\"} 1"));
   CHECK_THAT(text, Catch::Contains("result=\"denied\"} 1"));
+  CHECK_THAT(text,
+             Catch::Contains("umbertrail_response_ends_total{process=\"alive\","
+                             "verdict=\"complete\"} 1"));
   CHECK_THAT(text, Catch::Contains("length=\"long\",le=\"2\"} 1"));
   CHECK_THAT(text, Catch::Contains("length=\"long\",le=\"1.5\"} 0"));
   CHECK_THAT(text,
