--- a/tests/front/running_front.cc
+++ b/tests/front/running_front.cc
@@ -17,12 +17,13 @@
 std::string Route(const std::string& prefix,
                   const std::string& kind,
                   int max_attempts,
-                  int aim_ms = 1000) {
+                  int aim_ms = 1000,
+                  bool resumable = true) {
   return absl::StrCat(
       R"({"name":"r)", prefix, R"(","host":"a.example","prefix":")", prefix,
       R"(","kind":")", kind, R"(","timeout_ms":20000,"target_latency_ms":)",
-      aim_ms, R"(,"gap_aim_ms":)", aim_ms,
-      R"(,"resumable":true,"service":"llm",)", R"("max_attempts":)",
+      aim_ms, R"(,"gap_aim_ms":)", aim_ms, R"(,"resumable":)",
+      resumable ? "true" : "false", R"(,"service":"llm","max_attempts":)",
       max_attempts, "}");
 }
 
@@ -89,7 +90,8 @@
   return absl::StrCat(
       R"({"version":)", version, R"(,"routes":[)", Route("/safe/", "safe", 2),
       ",", Route("/once/", "unsafe", 1), ",", Route("/stream/", "streaming", 2),
-      ",", Route("/quick/", "streaming", 3, 100),
+      ",", Route("/quick/", "streaming", 3, 100), ",",
+      Route("/live/", "streaming", 1, 1000, false),
       R"(],"services":[{"name":"llm","max_conns":100,"engine":)",
       R"({"slots":16,"kv_tokens":405000,"step_ms":1.31,"per_seq_ms":0.001,)",
       R"("read_per_s":154000,"chunk":2048,"stride":34}}],)",
@@ -97,9 +99,17 @@
 }
 
 std::string ServerEntry(const std::string& address, const std::string& state) {
-  return absl::StrCat(R"({"service":"llm","address":")", address,
-                      R"(","zone":"east","version":"v1","slots":16,"state":")",
-                      state, R"(","cold_remaining_ms":0,"sequence":1})");
+  return BornServerEntry(address, state, 0);
+}
+
+std::string BornServerEntry(const std::string& address,
+                            const std::string& state,
+                            int64_t born_ms) {
+  return absl::StrCat(
+      R"({"service":"llm","address":")", address,
+      R"(","zone":"east","version":"v1","slots":16,"state":")", state, "\",",
+      born_ms == 0 ? "" : absl::StrCat(R"("born":)", born_ms, ","),
+      R"("cold_remaining_ms":0,"sequence":1})");
 }
 
 std::string PlatformRequest(const std::string& path,
--- a/tests/front/running_front.h
+++ b/tests/front/running_front.h
@@ -1,6 +1,7 @@
 #ifndef UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
 #define UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
@@ -41,12 +42,17 @@
 };
 
 // A configuration with one service "llm" of engines, routes /safe/, /once/,
-// /stream/ and /quick/ on host "a.example", and one key "k1" of account
-// "club". /quick/ allows three attempts, /once/ one, the others two; the
-// latency targets of /quick/ are a tenth of the others'.
+// /stream/, /quick/ and /live/ on host "a.example", and one key "k1" of account
+// "club". /quick/ allows three attempts, /once/ and /live/ one, the others two;
+// the latency targets of /quick/ are a tenth of the others'. Streams of /live/
+// can't be resumed.
 std::string SampleConfig(int version);
 // A store entry for a target of that service.
 std::string ServerEntry(const std::string& address, const std::string& state);
+// As ServerEntry, with the time of the target's start in Unix milliseconds.
+std::string BornServerEntry(const std::string& address,
+                            const std::string& state,
+                            int64_t born_ms);
 // A request with the platform's headers.
 std::string PlatformRequest(const std::string& path,
                             const std::string& attempt_id,
--- a/tests/front/target_answers.cc
+++ b/tests/front/target_answers.cc
@@ -1,6 +1,8 @@
 #include "front/target_answers.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "http/fake_server.h"
 
 namespace umbertrail::testing {
 
@@ -30,6 +32,21 @@
                       "Connection: close\r\n\r\n", body);
 }
 
+bool IsReportRequest(const std::string& request) {
+  return absl::StartsWith(request, "GET /report ");
+}
+
+std::string ReportAnswer(const std::string& request,
+                         const std::string& target,
+                         int64_t born_ms) {
+  const std::string expected = HeaderOf(request, "X-Expect-Instance");
+  if (expected != "none" && expected != target) {
+    return HttpAnswer(421, "");
+  }
+  return HttpAnswer(200, absl::StrCat(R"({"stage":"both","sequence":0,"born":)",
+                                      born_ms, "}"));
+}
+
 std::string StreamHead(const std::string& request) {
   return absl::StrCat("HTTP/1.1 200 OK\r\n", EchoId(request),
                       "Content-Type: text/event-stream\r\n"
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -137,6 +137,15 @@
   absl::MutexLock lock(&mutex_);
   stopping_ = true;
   ::shutdown(listener_, SHUT_RDWR);
+  ShutDownConnections();
+}
+
+void FakeServer::CloseConnections() {
+  absl::MutexLock lock(&mutex_);
+  ShutDownConnections();
+}
+
+void FakeServer::ShutDownConnections() {
   for (const int it : open_) {
     ::shutdown(it, SHUT_RDWR);
   }
--- a/tests/http/fake_server.h
+++ b/tests/http/fake_server.h
@@ -69,13 +69,18 @@
   // Closes all connections and refuses new ones, as a process that ended; may
   // be called from the script.
   void Crash();
+  // Closes all connections and accepts new ones, as a process that was
+  // restarted at once; may be called from the script.
+  void CloseConnections();
   // Refuses new connections; open ones go on.
   void RefuseNewConnections();
 
   std::string address() const;
+  // Connections that were ever accepted.
   int connections() const;
 
  private:
+  void ShutDownConnections() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void Accept();
   void Run(int socket);
 
--- a/tests/net/raw_client.cc
+++ b/tests/net/raw_client.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdlib>
 
 #include "absl/strings/numbers.h"
@@ -64,6 +65,7 @@
   std::string arrived(kReadSize, '\0');
   const ssize_t n = ::recv(socket_, arrived.data(), arrived.size(), 0);
   if (n <= 0) {
+    was_reset_ = n < 0 && errno == ECONNRESET;
     return false;
   }
   buffer_.append(arrived, 0, static_cast<size_t>(n));
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -28,12 +28,15 @@
   // Reads one response with Content-Length or chunked coding.
   std::string ReadAnswer();
   void Close();
+  // The last read found that the peer had reset the connection.
+  bool was_reset() const { return was_reset_; }
 
  private:
   bool ReadSome();
 
   int socket_ = -1;
   std::string buffer_;
+  bool was_reset_ = false;
 };
 
 }  // namespace umbertrail::testing
