The process that sent a response is asked whether it outlived the end

Callers saw: a response that ended with its connection as its target crashed, complete to the eye, where the target's port accepted connections right after.

Cause: whether a response without length and chunks was complete was asked of a new connection. That shows that somebody listens at the address, not that the process which answered lives: it may have been restarted at once, another service may have taken the address, a listener may outlive it.

Ruled out: waiting for the store to tell of the restart (it may come seconds later, and lapse); reading the end of other connections alone (there may be none, and idle ones end for other reasons).

Change: while such a response arrives, ProcessWatch holds a second connection to the target, an idle one if there is any. A process that ends takes it along. At the end the target has to answer a question for its report on that connection, and where there is none on a new one, as the same incarnation (421, or another time of start: it is gone). Silence for two seconds shows nothing: not complete. Why it works: an answer to a question sent after the end can only come from a process that lived after the end.

--- a/packages/dispatch/include/umbertrail/dispatch/response_end.h
+++ b/packages/dispatch/include/umbertrail/dispatch/response_end.h
@@ -17,9 +17,9 @@
   kAlive,
   // It is gone.
   kEnded,
-  // Neither it nor any other target that was tried can be reached, or it gave
-  // no
-  // answer in time.
+  // It accepts connections, but gives no answer in time.
+  kSilent,
+  // Neither it nor any other target that was tried can be reached.
   kUnknown,
 };
 
@@ -42,6 +42,8 @@
   kEndedInEvent,
   // The process that sent the response ended with it.
   kEndedByCrash,
+  // Nothing shows that the response is complete.
+  kUnproven,
 };
 
 absl::string_view NameOf(EndVerdict verdict);
--- a/packages/dispatch/src/response_end.cc
+++ b/packages/dispatch/src/response_end.cc
@@ -10,6 +10,8 @@
       return "alive";
     case ProcessState::kEnded:
       return "ended";
+    case ProcessState::kSilent:
+      return "silent";
     case ProcessState::kUnknown:
       return "unknown";
   }
@@ -24,6 +26,8 @@
       return "ended_in_event";
     case EndVerdict::kEndedByCrash:
       return "ended_by_crash";
+    case EndVerdict::kUnproven:
+      return "end_unproven";
   }
   return "";
 }
@@ -32,10 +36,20 @@
   if (end.is_stream && end.is_inside_event && !end.has_stated_length) {
     return EndVerdict::kEndedInEvent;
   }
-  if (end.ends_with_connection && end.process == ProcessState::kEnded) {
-    return EndVerdict::kEndedByCrash;
+  if (!end.ends_with_connection) {
+    return EndVerdict::kComplete;
   }
-  return EndVerdict::kComplete;
+  switch (end.process) {
+    case ProcessState::kEnded:
+      return EndVerdict::kEndedByCrash;
+    case ProcessState::kSilent:
+      return EndVerdict::kUnproven;
+    case ProcessState::kNotAsked:
+    case ProcessState::kAlive:
+    case ProcessState::kUnknown:
+      return EndVerdict::kComplete;
+  }
+  return EndVerdict::kUnproven;
 }
 
 }  // namespace umbertrail::dispatch
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -12,6 +12,7 @@
 #include "umbertrail/dispatch/response_end.h"
 #include "umbertrail/front/memory_reservation.h"
 #include "umbertrail/front/placer.h"
+#include "umbertrail/front/process_watch.h"
 #include "umbertrail/front/state.h"
 #include "umbertrail/front/stream_framer.h"
 #include "umbertrail/net/client.h"
@@ -59,6 +60,9 @@
   // Finds out whether a response that ended with its connection is complete, or
   // the target crashed.
   void CheckEnd();
+  void OnProcessAsked(ProcessWatch::Result result);
+  // Tells a target that is down from lost links.
+  void CheckReachable();
   void OnEndChecked(State::Reachability reachability);
   // Completes the response, or retries, by what is known of its end.
   void OnEndJudged(dispatch::ProcessState process);
@@ -130,6 +134,7 @@
   void AddLatencyFields(EventLog::Fields* fields) const;
   void OnDeadline();
   void DisconnectFromTarget();
+  void StopProcessWatch();
   bool is_stream() const;
 
   State& state_;
@@ -178,6 +183,8 @@
   std::shared_ptr<MemoryReservation> reservation_;
   // Targets not to be used as helpers for this request.
   std::vector<TargetId> excluded_helpers_;
+  // Set while a response arrives that ends with its connection.
+  std::shared_ptr<ProcessWatch> process_watch_;
   absl::Time sent_at_;
   // End of the current attempt's response.
   absl::Time ended_at_;
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -165,6 +165,7 @@
 }
 
 void Relay::BeginAttempt(absl::Time now) {
+  StopProcessWatch();
   first_event_alarm_.Cancel();
   sent_at_ = now;
   ++attempts_;
@@ -566,8 +567,16 @@
   }
 }
 
+void Relay::StopProcessWatch() {
+  if (process_watch_) {
+    process_watch_->Stop();
+    process_watch_.reset();
+  }
+}
+
 void Relay::DisconnectFromTarget() {
   ReleaseTargetResources();
+  StopProcessWatch();
   if (connection_) {
     connection_->Close();
     connection_.reset();
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -56,6 +56,12 @@
     response_mode_ = ResponseMode::kDiscard;
     return;
   }
+  if (head.ends_with_connection) {
+    process_watch_ = std::make_shared<ProcessWatch>(
+        state_.loop, state_.pool,
+        TargetProcess{target_, target_born_ms_, connection_->endpoint()});
+    process_watch_->Start();
+  }
   const bool success = head.status / 100 == 2;
   response_mode_ =
       is_stream() && success ? ResponseMode::kStream : ResponseMode::kForward;
@@ -261,6 +267,35 @@
 }
 
 void Relay::CheckEnd() {
+  process_watch_->Ask([weak = weak_from_this()](ProcessWatch::Result result) {
+    const auto self = weak.lock();
+    if (self && !self->finished_) {
+      self->OnProcessAsked(result);
+    }
+  });
+}
+
+void Relay::OnProcessAsked(ProcessWatch::Result result) {
+  const absl::Time now = BootNow();
+  switch (result) {
+    case ProcessWatch::Result::kAlive:
+      state_.RecordContact(now);
+      OnEndJudged(dispatch::ProcessState::kAlive);
+      return;
+    case ProcessWatch::Result::kEnded:
+      state_.RecordBrokenConnection(target_, target_born_ms_, contents_, now);
+      OnEndJudged(dispatch::ProcessState::kEnded);
+      return;
+    case ProcessWatch::Result::kSilent:
+      OnEndJudged(dispatch::ProcessState::kSilent);
+      return;
+    case ProcessWatch::Result::kUnreachable:
+      CheckReachable();
+      return;
+  }
+}
+
+void Relay::CheckReachable() {
   state_.RecordBrokenConnection(
       target_, target_born_ms_, contents_, BootNow(),
       [weak = weak_from_this()](State::Reachability reachability) {
@@ -273,12 +308,10 @@
 
 void Relay::OnEndChecked(State::Reachability reachability) {
   switch (reachability) {
-    case State::Reachability::kReachable:
-      OnEndJudged(dispatch::ProcessState::kAlive);
-      return;
     case State::Reachability::kUnreachable:
       OnEndJudged(dispatch::ProcessState::kEnded);
       return;
+    case State::Reachability::kReachable:  // Only since the question failed.
     case State::Reachability::kUnknown:
       OnEndJudged(dispatch::ProcessState::kUnknown);
       return;
@@ -319,17 +352,20 @@
   const absl::Time now = BootNow();
   state_.metrics.CountResponseEnd(dispatch::NameOf(end.process),
                                   dispatch::NameOf(verdict));
-  state_.log.Write(EventLog::Level::kNormal, "end_judged",
-                   {{"request", facts_.id.text()},
-                    {"target", target_.text()},
-                    {"with_connection", end.ends_with_connection},
-                    {"stream", end.is_stream},
-                    {"in_event", end.is_inside_event},
-                    {"process", dispatch::NameOf(end.process)},
-                    {"asked_us", absl::ToInt64Microseconds(now - ended_at_)},
-                    {"may_serve", TargetMayServe()},
-                    {"verdict", dispatch::NameOf(verdict)}},
-                   now);
+  state_.log.Write(
+      EventLog::Level::kNormal, "end_judged",
+      {{"request", facts_.id.text()},
+       {"target", target_.text()},
+       {"with_connection", end.ends_with_connection},
+       {"stream", end.is_stream},
+       {"in_event", end.is_inside_event},
+       {"process", dispatch::NameOf(end.process)},
+       {"asked_us", absl::ToInt64Microseconds(now - ended_at_)},
+       {"held", process_watch_ && !process_watch_->asked_on_new_connection()},
+       {"birth", process_watch_ && process_watch_->answer_stated_birth()},
+       {"may_serve", TargetMayServe()},
+       {"verdict", dispatch::NameOf(verdict)}},
+      now);
 }
 
 void Relay::CompleteTargetResponse(bool is_certain) {
@@ -371,6 +407,7 @@
   }
   const absl::Time now = BootNow();
   ReleaseTargetResources();
+  StopProcessWatch();
   const bool sent = connection_ == nullptr || connection_->sent();
   if (connection_) {
     connection_->Close();
--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -71,6 +71,9 @@
 
   // True when the connection can take another request now.
   bool Reusable() const;
+  bool closed() const { return state_ == State::kClosed; }
+  // The peer closed the connection while it was idle.
+  bool closed_by_peer() const { return closed_by_peer_; }
   // True once the request was handed to the socket.
   bool sent() const { return sent_; }
   const Endpoint& endpoint() const { return endpoint_; }
@@ -117,6 +120,7 @@
   bool head_delivered_ = false;
   bool response_started_ = false;
   bool extra_bytes_ = false;
+  bool closed_by_peer_ = false;
   absl::Duration idle_limit_;
 };
 
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -175,7 +175,8 @@
     return;
   }
   if (state_ != State::kCalling) {
-    Close();  // Idle: the peer closed or sent unsolicited bytes.
+    closed_by_peer_ = true;  // Or it sent unsolicited bytes.
+    Close();
     return;
   }
   if (error) {
--- a/tests/dispatch/response_end_test.cc
+++ b/tests/dispatch/response_end_test.cc
@@ -42,6 +42,12 @@
   CHECK(JudgeEnd(end) == EndVerdict::kEndedByCrash);
 }
 
+TEST_CASE("a response whose process says nothing more is not complete") {
+  ResponseEnd end = EndWithConnection(ProcessState::kSilent);
+  end.is_stream = GENERATE(false, true);
+  CHECK(JudgeEnd(end) == EndVerdict::kUnproven);
+}
+
 TEST_CASE("a response whose process lives on is complete") {
   ResponseEnd end = EndWithConnection(ProcessState::kAlive);
   end.is_stream = GENERATE(false, true);
