Targets that get no new requests are asked about their ends too

Callers saw: a response without length and chunks, cut by the crash of a target that was draining, leaving, gone from the store or in a closed data centre, as a complete one.

Cause: the end was checked only where the target might be given new requests, as the check took its address from the store and served placement too. The process watch knows the address from the connection itself, so the condition goes.

Whole responses of such targets stay complete ("a response that ends with its connection is judged: target lives").

--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -248,8 +248,7 @@
     RetryOrRefuse(Refusal::kTargetFailed);
     return;
   }
-  if (response_head_.ends_with_connection && !IsInsideEvent() &&
-      peer_.empty() && TargetMayServe()) {
+  if (process_watch_ && !IsInsideEvent()) {
     CheckEnd();
     return;
   }
