Where no target can be reached, what can be repeated isn't complete

Callers saw: a stream cut by a crash of all targets that its instance tried, as a complete one.

Cause: with no target reachable the state of the process is unknown, and unknown counted as complete, for the sake of instances to which new connections are refused while live ones go on.

Where none was held, because the response ended in the moment in which it began, the choice between the two errors is made in JudgeEnd and stated there: what is a stream or may run again counts as broken off and is repeated, or its cut is visible; a response that may run once counts as complete, as "an answer is complete though new connections are refused by all" asks.

--- a/packages/dispatch/include/umbertrail/dispatch/response_end.h
+++ b/packages/dispatch/include/umbertrail/dispatch/response_end.h
@@ -31,6 +31,8 @@
   // The target stated the length, and all bytes have arrived.
   bool has_stated_length = false;
   bool is_stream = false;
+  // The request may run again, or go on after the last event.
+  bool may_run_again = false;
   // A stream's last event is incomplete.
   bool is_inside_event = false;
   ProcessState process = ProcessState::kNotAsked;
@@ -48,6 +50,11 @@
 
 absl::string_view NameOf(EndVerdict verdict);
 
+// Where nothing can be reached, a crash of all targets looks like an instance
+// to which new connections are refused while live ones go on. Then a stream, or
+// what may run again, counts as broken off, as that can be repeated or at least
+// be seen; another response counts as complete, as its caller couldn't ask
+// again.
 EndVerdict JudgeEnd(const ResponseEnd& end);
 
 }  // namespace umbertrail::dispatch
--- a/packages/dispatch/src/response_end.cc
+++ b/packages/dispatch/src/response_end.cc
@@ -44,9 +44,11 @@
       return EndVerdict::kEndedByCrash;
     case ProcessState::kSilent:
       return EndVerdict::kUnproven;
+    case ProcessState::kUnknown:
+      return end.is_stream || end.may_run_again ? EndVerdict::kUnproven
+                                                : EndVerdict::kComplete;
     case ProcessState::kNotAsked:
     case ProcessState::kAlive:
-    case ProcessState::kUnknown:
       return EndVerdict::kComplete;
   }
   return EndVerdict::kUnproven;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -322,6 +322,7 @@
   end.ends_with_connection = response_head_.ends_with_connection;
   end.has_stated_length = has_stated_length_;
   end.is_stream = response_mode_ == ResponseMode::kStream;
+  end.may_run_again = dispatch::MayRunAgain(route_->repeat);
   end.is_inside_event = IsInsideEvent();
   end.process = process;
   const dispatch::EndVerdict verdict = dispatch::JudgeEnd(end);
--- a/tests/dispatch/response_end_test.cc
+++ b/tests/dispatch/response_end_test.cc
@@ -42,6 +42,15 @@
   CHECK(JudgeEnd(end) == EndVerdict::kEndedByCrash);
 }
 
+TEST_CASE("where nothing is reached, what can be repeated is not complete") {
+  ResponseEnd end = EndWithConnection(ProcessState::kUnknown);
+  end.is_stream = GENERATE(false, true);
+  end.may_run_again = GENERATE(false, true);
+  const bool is_repeatable = end.is_stream || end.may_run_again;
+  CHECK(JudgeEnd(end) ==
+        (is_repeatable ? EndVerdict::kUnproven : EndVerdict::kComplete));
+}
+
 TEST_CASE("a response whose process says nothing more is not complete") {
   ResponseEnd end = EndWithConnection(ProcessState::kSilent);
   end.is_stream = GENERATE(false, true);
