A cut response that ends with its connection ends with a reset

Callers saw: with HTTP/1.0, each answer that was cut (target crashed, deadline, refusal after events, the instance itself ending) as a complete one.

Cause: such a caller gets neither a length nor chunks for a stream, so the end of the connection is the end of the answer, and Abort closed it in the ordinary way.

Change: while such a response is in progress its socket is set to reset on close, which also holds when the process is killed; FinishResponse takes that back. Abort waits until the client's side has acknowledged what was passed on, a second at most, as a reset discards what is on its way.

A complete response still ends in the ordinary way.

--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -62,7 +62,8 @@
   void SendBody(absl::string_view bytes);
   // Completes the response; the connection is then reused or closed.
   void FinishResponse();
-  // Closes the connection so that the response does not look complete.
+  // Closes the connection, after what was passed on has been sent, so that the
+  // response does not look complete.
   void Abort();
 
   size_t pending_bytes() const { return writes_.pending_bytes(); }
@@ -84,6 +85,11 @@
   void OnTimer();
   void OnWritten(bool ok);
   void Close();
+  // Closes the connection once the client has all that was sent, or after
+  // kLingerTimeout.
+  void CloseWhenSent();
+  // Whether closing the connection resets it.
+  void SetResetOnClose(bool reset);
   // Half-closes and drains the connection first, so that sent bytes are not
   // lost.
   void LingeringClose();
@@ -99,6 +105,10 @@
   bool lingering_ = false;
   bool chunked_response_ = false;
   bool bodyless_response_ = false;
+  // The response in progress has neither a length nor chunks.
+  bool ends_with_connection_ = false;
+  // Until an aborted connection is closed though bytes are on their way.
+  int send_checks_left_ = 0;
   std::array<char, 4096> read_buffer_;
   // Bytes that are not parsed yet.
   std::string buffer_;
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -1,5 +1,8 @@
 #include "umbertrail/net/server.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/post.hpp>
 #include <vector>
 
@@ -18,6 +21,8 @@
 constexpr absl::Duration kClientAckTimeout = absl::Seconds(6);
 // How long a closing connection waits for the client to read the rest.
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
+// How often an aborted connection is checked for bytes on their way.
+constexpr absl::Duration kSendCheckInterval = absl::Milliseconds(2);
 // Delay before accepting again when file descriptors have run out.
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(50);
 
@@ -235,6 +240,10 @@
       !head.length && !bodyless_response_ && request_.version >= 11;
   if (!head.length && !chunked_response_) {
     close_after_response_ = true;
+    // Only a reset shows the client that its response was cut, also when this
+    // process ends within it.
+    ends_with_connection_ = !bodyless_response_;
+    SetResetOnClose(ends_with_connection_);
   }
   writes_.Push(
       WriteResponseHead(head, chunked_response_, close_after_response_),
@@ -261,6 +270,10 @@
     writes_.Push("0\r\n\r\n", shared_from_this());
   }
   chunked_response_ = false;
+  if (ends_with_connection_) {
+    ends_with_connection_ = false;
+    SetResetOnClose(false);
+  }
   --server_.busy_;
   if (close_after_response_ || server_.refusing_requests_) {
     state_ = State::kIdle;
@@ -282,9 +295,32 @@
 }
 
 void ServerConnection::Abort() {
+  observer_.reset();
+  if (state_ == State::kResponding && ends_with_connection_) {
+    send_checks_left_ = static_cast<int>(kLingerTimeout / kSendCheckInterval);
+    CloseWhenSent();
+    return;
+  }
   Close();
 }
 
+void ServerConnection::CloseWhenSent() {
+  int in_kernel = 0;
+  const bool known = ioctl(socket_.native_handle(), SIOCOUTQ, &in_kernel) == 0;
+  const bool is_sent = writes_.pending_bytes() == 0 && in_kernel == 0;
+  if (is_sent || !known || send_checks_left_-- == 0) {
+    Close();
+    return;
+  }
+  timer_.Set(kSendCheckInterval, shared_from_this(),
+             &ServerConnection::CloseWhenSent);
+}
+
+void ServerConnection::SetResetOnClose(bool reset) {
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(reset, 0), ignored);
+}
+
 void ServerConnection::LingeringClose() {
   lingering_ = true;
   observer_.reset();
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -189,6 +189,65 @@
   CHECK_THAT(response, !Catch::Contains("chunked"));
 }
 
+// An HTTP/1.0 request, whose response ends with its connection.
+std::string OldRequest() {
+  return "GET /a HTTP/1.0\r\nHost: x\r\n\r\n";
+}
+
+// So large that some of it is still on its way when the response ends.
+constexpr size_t kLargeBody = size_t{2} << 20;
+
+void BeginLargeResponse(const std::shared_ptr<ServerConnection>& client) {
+  ResponseHead head;
+  head.status = 200;
+  head.reason = "OK";
+  client->BeginResponse(std::move(head));
+  client->SendBody(std::string(kLargeBody, 'x'));
+}
+
+TEST_CASE("an HTTP/1.0 client gets all that was sent, then a reset on a cut") {
+  Running running([](const std::shared_ptr<ServerConnection>& client) {
+    BeginLargeResponse(client);
+    client->Abort();
+  });
+  RawClient client(running.address());
+  client.Send(OldRequest());
+  const std::string response = client.ReadToEnd();
+  CHECK(response.size() > kLargeBody);
+  CHECK(client.was_reset());
+}
+
+TEST_CASE("an HTTP/1.0 client sees an ordinary end of a complete response") {
+  Running running([](const std::shared_ptr<ServerConnection>& client) {
+    BeginLargeResponse(client);
+    client->FinishResponse();
+  });
+  RawClient client(running.address());
+  client.Send(OldRequest());
+  const std::string response = client.ReadToEnd();
+  CHECK(response.size() > kLargeBody);
+  CHECK_FALSE(client.was_reset());
+}
+
+TEST_CASE("an HTTP/1.0 client sees a reset when the server ends meanwhile") {
+  absl::Notification begun;
+  Running running([&](const std::shared_ptr<ServerConnection>& client) {
+    ResponseHead head;
+    head.status = 200;
+    head.reason = "OK";
+    client->BeginResponse(std::move(head));
+    client->SendBody("part");
+    begun.Notify();
+  });
+  RawClient client(running.address());
+  client.Send(OldRequest());
+  begun.WaitForNotification();
+  CHECK_THAT(client.ReadUntil("part"), Catch::EndsWith("part"));
+  boost::asio::post(running.loop(), [&] { running.server().CloseAll(); });
+  CHECK(client.ReadToEnd().empty());
+  CHECK(client.was_reset());
+}
+
 TEST_CASE("an answer that began before a stop takes no request after it") {
   // The response head lacks `Connection: close`, as it was sent before the
   // shutdown. A further request on the connection would have too little time.
