A reset that meets a write doesn't look like the end of a response

Callers saw: a response without length and chunks that its target reset while the request was still being sent, as a complete one.

Cause: the system reports a reset once. Where the write of the request gets the error, the read that follows finds an ordinary end of the connection, and the client took a failed write for something that the next read would show again.

Change: after a failed write the end of the connection completes no response that has no other end. A response with a length or chunks isn't affected.

--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -121,6 +121,7 @@
   bool response_started_ = false;
   bool extra_bytes_ = false;
   bool closed_by_peer_ = false;
+  bool write_failed_ = false;
   absl::Duration idle_limit_;
 };
 
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -180,7 +180,7 @@
     return;
   }
   if (error) {
-    if (error == boost::asio::error::eof && head_delivered_ &&
+    if (error == boost::asio::error::eof && !write_failed_ && head_delivered_ &&
         reader_->message.need_eof() && !response_has_no_body_) {
       boost::beast::error_code end;
       reader_->message.put_eof(end);
@@ -282,8 +282,11 @@
   }
 }
 
-void ClientConnection::OnWritten(bool) {
-  // A write error surfaces as a read error after the peer's last bytes.
+void ClientConnection::OnWritten(bool ok) {
+  // The peer's last bytes are still to be read. After a reset the read that
+  // follows a failed write finds an ordinary end, as the system reports the
+  // error once.
+  write_failed_ = write_failed_ || !ok;
 }
 
 void ClientConnection::Fail(CallFailure failure) {
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -82,6 +82,11 @@
   }
 }
 
+void FakeConnection::AwaitBytes() {
+  std::string buf(kReadSize, '\0');
+  static_cast<void>(::recv(socket_, buf.data(), buf.size(), 0));
+}
+
 void FakeConnection::Reset() {
   const linger hard{1, 0};
   ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
--- a/tests/net/client_test.cc
+++ b/tests/net/client_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "absl/time/clock.h"
 #include "http/fake_server.h"
 
 namespace umbertrail::net {
@@ -12,6 +13,8 @@
 using testing::FakeServer;
 
 constexpr absl::Duration kTimeout = absl::Seconds(30);
+// Without that wait the fault shows less often.
+constexpr absl::Duration kUntilBuffersAreFull = absl::Milliseconds(200);
 
 // Records the outcome of one call, then stops the loop.
 class Recorder : public ResponseListener {
@@ -137,6 +140,25 @@
   CHECK(response->failure);
 }
 
+TEST_CASE("a reset while the request is sent doesn't complete the response") {
+  FakeServer server([](FakeConnection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\n\r\npart");
+    connection.AwaitBytes();
+    absl::SleepFor(kUntilBuffersAreFull);
+    connection.Reset();
+  });
+  Loop loop(1);
+  const auto connection = std::make_shared<ClientConnection>(loop);
+  // Larger than what sockets hold, so that the reset meets a write.
+  const auto body = std::make_shared<const std::string>(size_t{32} << 20, 'x');
+  const auto recorder = std::make_shared<Recorder>(loop);
+  connection->Call(*ParseEndpoint(server.address()), kTimeout, kTimeout,
+                   "POST / HTTP/1.1\r\nHost: x\r\n\r\n", body, false, recorder);
+  loop.run();
+  CHECK_FALSE(recorder->ended);
+  CHECK(recorder->failure == CallFailure::kBrokenOff);
+}
+
 TEST_CASE("truncated, missing and malformed responses are distinguished") {
   const auto broken = ResponseOf([](FakeConnection& connection) {
     connection.ReadRequest();
