A stream that ends with its connection before its first event is broken off

Callers saw: a stream without length and chunks that its target, still alive, ended after the head, as a complete and empty one.

Cause: the end of such a stream was judged by the target's life and by whether it stood inside an event; no event at all counted as a clean end between two.

Change: judged as broken off, unless the stream goes on after an event that its caller or an earlier run had; an end that chunks or a length mark stays complete. In the same function: a response that another instance passed on always has a mark of its end, so one without isn't complete.

Unit tests for both rules.

--- a/packages/dispatch/include/umbertrail/dispatch/response_end.h
+++ b/packages/dispatch/include/umbertrail/dispatch/response_end.h
@@ -28,6 +28,8 @@
 struct ResponseEnd {
   // Neither a length nor chunked coding marked the end.
   bool ends_with_connection = false;
+  // Another instance passed it on, which always marks the end.
+  bool from_instance = false;
   // The target stated the length, and all bytes have arrived.
   bool has_stated_length = false;
   bool is_stream = false;
@@ -35,6 +37,8 @@
   bool may_run_again = false;
   // A stream's last event is incomplete.
   bool is_inside_event = false;
+  // A stream from its beginning, of which no event has come.
+  bool is_empty_stream = false;
   ProcessState process = ProcessState::kNotAsked;
 };
 
@@ -42,6 +46,8 @@
   kComplete,
   // The stream ended within an event.
   kEndedInEvent,
+  // A stream ended before its first event.
+  kEndedEmpty,
   // The process that sent the response ended with it.
   kEndedByCrash,
   // Nothing shows that the response is complete.
--- a/packages/dispatch/src/response_end.cc
+++ b/packages/dispatch/src/response_end.cc
@@ -24,6 +24,8 @@
       return "complete";
     case EndVerdict::kEndedInEvent:
       return "ended_in_event";
+    case EndVerdict::kEndedEmpty:
+      return "ended_empty";
     case EndVerdict::kEndedByCrash:
       return "ended_by_crash";
     case EndVerdict::kUnproven:
@@ -39,6 +41,12 @@
   if (!end.ends_with_connection) {
     return EndVerdict::kComplete;
   }
+  if (end.from_instance) {
+    return EndVerdict::kUnproven;
+  }
+  if (end.is_empty_stream) {
+    return EndVerdict::kEndedEmpty;
+  }
   switch (end.process) {
     case ProcessState::kEnded:
       return EndVerdict::kEndedByCrash;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -320,10 +320,14 @@
 void Relay::OnEndJudged(dispatch::ProcessState process) {
   dispatch::ResponseEnd end;
   end.ends_with_connection = response_head_.ends_with_connection;
+  end.from_instance = !peer_.empty();
   end.has_stated_length = has_stated_length_;
   end.is_stream = response_mode_ == ResponseMode::kStream;
   end.may_run_again = dispatch::MayRunAgain(route_->repeat);
   end.is_inside_event = IsInsideEvent();
+  end.is_empty_stream = end.is_stream && !target_sent_events_ &&
+                        framer_.last_event_id().empty() &&
+                        facts_.last_event.empty();
   end.process = process;
   const dispatch::EndVerdict verdict = dispatch::JudgeEnd(end);
   LogEnd(end, verdict);
--- a/packages/logbook/src/cause.cc
+++ b/packages/logbook/src/cause.cc
@@ -52,7 +52,7 @@
   absl::string_view text;
 };
 
-constexpr std::array<Phrase, 11> kFailurePhrases = {{
+constexpr std::array<Phrase, 12> kFailurePhrases = {{
     {"not_connected", "could not be connected to"},
     {"no_answer", "sent no response"},
     {"broken_off", "sent an incomplete response"},
@@ -62,6 +62,7 @@
     {"unusable", "sent a response that does not continue the stream"},
     {"server_error", "returned a server error"},
     {"ended_in_event", "ended its stream inside an event"},
+    {"ended_empty", "ended its stream before the first event"},
     {"ended_by_crash", "was down when its response had ended"},
     {"end_unproven", "ended its response with nothing to show it complete"},
 }};
--- a/tests/dispatch/response_end_test.cc
+++ b/tests/dispatch/response_end_test.cc
@@ -42,6 +42,22 @@
   CHECK(JudgeEnd(end) == EndVerdict::kEndedByCrash);
 }
 
+TEST_CASE("a stream that ends before its first event is broken off") {
+  ResponseEnd end = EndWithConnection(ProcessState::kAlive);
+  end.is_stream = true;
+  end.is_empty_stream = true;
+  CHECK(JudgeEnd(end) == EndVerdict::kEndedEmpty);
+  end.ends_with_connection = false;
+  CHECK(JudgeEnd(end) == EndVerdict::kComplete);
+}
+
+TEST_CASE("what another instance passes on ends by its framing alone") {
+  ResponseEnd end = EndWithConnection(ProcessState::kNotAsked);
+  end.from_instance = true;
+  end.is_stream = GENERATE(false, true);
+  CHECK(JudgeEnd(end) == EndVerdict::kUnproven);
+}
+
 TEST_CASE("where nothing is reached, what can be repeated is not complete") {
   ResponseEnd end = EndWithConnection(ProcessState::kUnknown);
   end.is_stream = GENERATE(false, true);
--- a/tests/front/response_end_test.cc
+++ b/tests/front/response_end_test.cc
@@ -374,13 +374,14 @@
 }
 
 // A target that lives closes its connection in the ordinary way after a part of
-// its response, and not inside an event: nothing tells that from a whole
-// response, which it is taken for.
+// its response, not inside an event nor before the first: nothing tells that
+// from a whole response, which it is taken for.
 bool CanNotBeKnown(const Row& row) {
-  const bool is_inside_event =
-      IsStream(row) && row.place == Place::kPartOfEvent;
+  const bool shows_itself =
+      IsStream(row) &&
+      (row.place == Place::kPartOfEvent || row.place == Place::kHead);
   return row.framing == Framing::kConnection && row.close == Close::kOrdinary &&
-         row.place != Place::kWhole && Lives(row.fate) && !is_inside_event;
+         row.place != Place::kWhole && Lives(row.fate) && !shows_itself;
 }
 
 // The process ends in the moment in which it answers, and no target accepts a
--- a/tests/logbook/story_test.cc
+++ b/tests/logbook/story_test.cc
@@ -92,6 +92,10 @@
 TEST_CASE("a response that ended too early states how") {
   const auto [how, text] = GENERATE(
       std::make_pair("ended_in_event", "t ended its stream inside an event"),
+      std::make_pair("ended_empty",
+                     "t ended its stream before the first event"),
+      std::make_pair("end_unproven",
+                     "t ended its response with nothing to show"),
       std::make_pair("ended_by_crash", "t was down when its response had"));
   const std::string failed =
       std::string(R"({"t_ms":1,"instance":"a","event":"attempt_failed",)") +
