Soak: a third of the targets' answers end with their connection

The stand-in targets of the fault soak framed every answer, so no crash of a target in the soak met an answer whose end has to be judged. They answer the question for their report now, which counts as no run. A target that refuses the question and accepts a connection right after is taken for silent, not for unknown: no instance without links sees that.

--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -310,7 +310,9 @@
     case State::Reachability::kUnreachable:
       OnEndJudged(dispatch::ProcessState::kEnded);
       return;
-    case State::Reachability::kReachable:  // Only since the question failed.
+    case State::Reachability::kReachable:  // But it refused the question.
+      OnEndJudged(dispatch::ProcessState::kSilent);
+      return;
     case State::Reachability::kUnknown:
       OnEndJudged(dispatch::ProcessState::kUnknown);
       return;
--- a/tests/front_soak/stand_in_target.cc
+++ b/tests/front_soak/stand_in_target.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "front/target_answers.h"
+#include "umbertrail/base/hash.h"
 
 namespace umbertrail::soak {
 namespace {
@@ -20,6 +21,16 @@
 
 constexpr absl::Duration kWork = absl::Milliseconds(10);
 constexpr absl::Duration kEventInterval = absl::Milliseconds(40);
+// One of so many answers has neither a length nor chunks.
+constexpr uint64_t kUnframedOneIn = 3;
+
+bool IsUnframed(const std::string& id) {
+  return StableHash(id) % kUnframedOneIn == 0;
+}
+
+std::string UnframedHead(const std::string& request) {
+  return testing::UnframedAnswer(request, "");
+}
 
 }  // namespace
 
@@ -49,6 +60,11 @@
 
 void StandInTarget::Serve(FakeConnection& connection) {
   testing::ServeRequests(connection, [&](const std::string& request) {
+    if (testing::IsReportRequest(request)) {
+      AwaitVoice();
+      connection.Write(testing::ReportAnswer(request, id_, 0));
+      return true;
+    }
     if (HeaderOf(request, "X-Expect-Instance") != id_) {
       connection.Write(absl::StrCat("HTTP/1.1 421 X\r\n", EchoId(request),
                                     "X-Not-Executed: instance\r\n"
@@ -69,7 +85,7 @@
     } else {
       Answer(request, connection);
     }
-    return true;
+    return !IsUnframed(HeaderOf(request, "X-Attempt-Id"));
   });
 }
 
@@ -77,8 +93,10 @@
                            FakeConnection& connection) {
   absl::SleepFor(kWork);
   AwaitVoice();
-  connection.Write(
-      WholeAnswer(request, BodyFor(HeaderOf(request, "X-Attempt-Id"))));
+  const std::string id = HeaderOf(request, "X-Attempt-Id");
+  connection.Write(IsUnframed(id)
+                       ? testing::UnframedAnswer(request, BodyFor(id))
+                       : WholeAnswer(request, BodyFor(id)));
 }
 
 void StandInTarget::Stream(const std::string& request,
@@ -89,13 +107,18 @@
     first = done + 1;
   }
   AwaitVoice();
-  connection.Write(StreamHead(request));
+  const std::string id = HeaderOf(request, "X-Attempt-Id");
+  const bool is_unframed = IsUnframed(id);
+  connection.Write(is_unframed ? UnframedHead(request) : StreamHead(request));
   for (int i = first; i <= kEvents; ++i) {
     absl::SleepFor(kEventInterval);
     AwaitVoice();
-    connection.Write(Chunk(EventFor(HeaderOf(request, "X-Attempt-Id"), i)));
+    const std::string event = EventFor(id, i);
+    connection.Write(is_unframed ? event : Chunk(event));
+  }
+  if (!is_unframed) {
+    connection.Write("0\r\n\r\n");
   }
-  connection.Write("0\r\n\r\n");
 }
 
 }  // namespace umbertrail::soak
--- a/tests/front_soak/stand_in_target.h
+++ b/tests/front_soak/stand_in_target.h
@@ -13,7 +13,8 @@
 namespace umbertrail::soak {
 
 // One life of a target: it answers each kind of request as a sound one does,
-// until it is told to fail. It dies with this object, its connections with it.
+// some without a length and chunks, until it is told to fail. It dies with this
+// object, its connections with it.
 class StandInTarget {
  public:
   // `judge` must outlive the target.
