--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -110,8 +110,6 @@
   void RecordUnreachable(const TargetId& target, absl::Time now);
   // The store shows that the target has restarted or is gone.
   void RecordRestart(const TargetId& target, absl::Time now);
-  // Adds another instance's report of a crash; true if any of it is new.
-  bool MergeCrash(const dispatch::TargetCrash& crash, absl::Time now);
   // Logs contents that have become blocked.
   void LogNewBlocks(absl::Time now);
   // Whether requests with these contents must not be sent. Now and then one
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -227,7 +227,7 @@
   }
   bool news = false;
   for (const PeerCrash& report : message.crashes) {
-    news = state_.MergeCrash(FromWire(report, now), now) || news;
+    news = state_.crash_evidence.Merge(FromWire(report, now), now) || news;
   }
   if (news) {
     state_.LogNewBlocks(now);
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -359,12 +359,10 @@
   if (entry == nullptr || !state_.view.MayServe(*entry) ||
       state_.InBackoff(placed.target, now)) {
     // The target left or asked for back-off during placement or reservation.
-    ReleaseReservation();
     Refuse(Refusal::kNoTarget, absl::Milliseconds(200));
     return;
   }
   if (RefuseIfBlocked(now)) {
-    ReleaseReservation();
     return;
   }
   if (!placed.charged_to_limit && !state_.ChargeLimit(*entry, now)) {
@@ -567,13 +565,6 @@
   }
 }
 
-void Relay::StopProcessWatch() {
-  if (process_watch_) {
-    process_watch_->Stop();
-    process_watch_.reset();
-  }
-}
-
 void Relay::DisconnectFromTarget() {
   ReleaseTargetResources();
   StopProcessWatch();
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -374,7 +374,7 @@
                {"requests", static_cast<int64_t>(crash.wholes.size())},
                {"parts", static_cast<int64_t>(crash.parts.size())}},
               now);
-    news = MergeCrash(crash, now) || news;
+    news = crash_evidence.Merge(crash, now) || news;
   }
   if (news && publish_crashes) {
     LogNewBlocks(now);
@@ -382,10 +382,6 @@
   }
 }
 
-bool State::MergeCrash(const dispatch::TargetCrash& crash, absl::Time now) {
-  return crash_evidence.Merge(crash, now);
-}
-
 void State::LogNewBlocks(absl::Time now) {
   std::map<std::set<Fingerprint>, absl::Time> blocked;
   for (const auto& block : crash_evidence.blocks()) {
