A request goes on past targets that refuse connections at once

Callers saw: 503 (no_target) while two of fourteen targets were up, in about one request of sixteen, after others had crashed.

Cause: a request gave up after four failed connections. That bound is meant for connections that time out, 300 ms each. When three targets are down the links may be taken for lost for a moment, which forgets the targets known to be down, and the next request met four of them.

Ruled out: that forgetting alone.

Change: connections that were refused count by their time: up to sixteen, while all took less than one connection may. Four that time out end the request as before.

--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -57,6 +57,7 @@
   bool SendThroughPeer();
   void OnPeerHead(const net::ResponseHead& head);
   void OnPeerFailure(bool sent);
+  bool MayConnectAgain() const;
   // Finds out whether a response that ended with its connection is complete, or
   // the target crashed.
   void CheckEnd();
@@ -165,6 +166,8 @@
   absl::Duration max_event_gap_ = absl::ZeroDuration();
   absl::Time last_event_at_;
   int connect_failures_ = 0;
+  // Time that the failed connection attempts took.
+  absl::Duration connect_time_;
   RetryDecision retry_decision_ = RetryDecision::kAllowed;
   // From the last placement reply.
   size_t candidate_count_ = 0;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -13,8 +13,10 @@
 
 using dispatch::Refusal;
 
-// Failed connection attempts after which a request is refused.
+// Failed connection attempts after which a request is refused: slow ones, and
+// ones that were refused at once.
 constexpr int kMaxConnectFailures = 4;
+constexpr int kMaxQuickConnectFailures = 16;
 // Failed connection attempts after which another instance is asked, as this one
 // may have lost links.
 constexpr int kMaxDirectConnectFailures = 2;
@@ -243,12 +245,13 @@
   if (!sent) {
     --attempts_;
     ++connect_failures_;
+    connect_time_ += now - sent_at_;
     state_.RecordUnreachable(target_, now);
     tried_targets_.push_back(target_);
     if (connect_failures_ >= kMaxDirectConnectFailures && SendThroughPeer()) {
       return;
     }
-    if (connect_failures_ < kMaxConnectFailures && HasTimeForAttempt(now)) {
+    if (MayConnectAgain() && HasTimeForAttempt(now)) {
       PlaceAndSend();
     } else {
       Refuse(Refusal::kNoTarget, absl::Milliseconds(500));
@@ -263,6 +266,12 @@
   RetryOrRefuse(Refusal::kTargetFailed);
 }
 
+bool Relay::MayConnectAgain() const {
+  return connect_failures_ < kMaxConnectFailures ||
+         (connect_failures_ < kMaxQuickConnectFailures &&
+          connect_time_ < TargetPool::kConnectTimeout);
+}
+
 void Relay::OnPeerFailure(bool sent) {
   if (sent) {
     may_have_run_ = true;
