Review case 3: a booking passed on is answered as a readiness question

An instance without links to targets passes its requests on to others, at their control address. There a caller's request with the path /readiness is taken for the platform's question: the caller gets an empty 200 without a seal, for work that no target has seen.

At fault are Front::OnControl() in packages/front/src/front.cc and IsReadinessProbe() in platform/request_codec.cc, which looks at the path alone.

The case of the leaving target is now number 4, as this one is graver.

--- a/review/stand_in/leaving_in_closed_zone.cc
+++ b/review/stand_in/leaving_in_closed_zone.cc
@@ -1,4 +1,4 @@
-// Case 3: a runner of an evacuated zone says in its answers that it leaves,
+// Case 4: a runner of an evacuated zone says in its answers that it leaves,
 // while the store is down. When the zone is taken back it must get nothing.
 
 #include <algorithm>
--- a/review/stand_in/stand_in.cc
+++ b/review/stand_in/stand_in.cc
@@ -319,8 +319,31 @@
   shutdown(fd_, SHUT_RDWR);
 }
 
+void Connection::Pump(Connection& a, Connection& b) {
+  const auto pass = [](Connection& from, Connection& to) {
+    char bytes[16384];
+    while (true) {
+      const ssize_t n = recv(from.fd_, bytes, sizeof bytes, 0);
+      if (n <= 0 || !to.Write(std::string(bytes, static_cast<size_t>(n)))) {
+        break;
+      }
+    }
+    from.Shut();
+    to.Shut();
+  };
+  std::thread back([&] { pass(b, a); });
+  pass(a, b);
+  back.join();
+}
+
 Server::Server(const std::string& ip, Handler handler)
-    : handler_(std::move(handler)),
+    : Server(ip, RawHandler(), false) {
+  handler_ = std::move(handler);
+  acceptor_ = std::thread([this] { Accept(); });
+}
+
+Server::Server(const std::string& ip, RawHandler handler, bool raw)
+    : raw_handler_(std::move(handler)),
       fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   sockaddr_in address = AddressOf(ip, 0);
   socklen_t size = sizeof address;
@@ -331,7 +354,9 @@
   }
   getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
   address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
-  acceptor_ = std::thread([this] { Accept(); });
+  if (raw) {
+    acceptor_ = std::thread([this] { Accept(); });
+  }
 }
 
 Server::~Server() {
@@ -376,7 +401,10 @@
 }
 
 void Server::Serve(const std::shared_ptr<Connection>& connection) {
-  while (!stopping_) {
+  if (raw_handler_) {
+    raw_handler_(*connection);
+  }
+  while (!raw_handler_ && !stopping_) {
     const Message request = connection->Read(false, Now() + 3600);
     if (!request.complete || stopping_ || !handler_(request, *connection)) {
       break;
@@ -538,6 +566,17 @@
   return size + bytes + "\r\n";
 }
 
+Proxy::Proxy(const std::string& ip, std::string to) : to_(std::move(to)) {
+  server_ = std::make_unique<Server>(
+      ip, [this](Connection& from) { Pass(from); }, true);
+}
+
+void Proxy::Pass(Connection& from) {
+  if (const auto to = Connection::To(to_)) {
+    Connection::Pump(from, *to);
+  }
+}
+
 Fleet::Fleet(const Options& options,
              const std::string& net,
              const std::string& store_address,
@@ -629,7 +668,9 @@
          "  retry_after_s: 0\n  stall_ms: 1500\n  hold_max_ms: 20000\n"
          "  free_ms: 4000\n  idle_max_ms: 9000\n"
          "platform:\n  address: \""
-      << store_address_
+      << (machine == &machines_.front() && !options_.first_store_address.empty()
+              ? options_.first_store_address
+              : store_address_)
       << "\"\n  form: \"read\"\n  writes_per_s: 400\n  reads_per_s: 2000\n"
          "  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n";
   out.close();
--- a/review/stand_in/stand_in.h
+++ b/review/stand_in/stand_in.h
@@ -75,6 +75,8 @@
   Message ReadBody(const Message& head, double deadline);
   // True while the peer hasn't closed the connection.
   bool IsOpen();
+  // Passes on what the two sides send, until one of them ends.
+  static void Pump(Connection& a, Connection& b);
   // Wakes a thread that reads or writes here.
   void Shut();
 
@@ -92,6 +94,9 @@
   using Handler =
       std::function<bool(const Message& request, Connection& connection)>;
   Server(const std::string& ip, Handler handler);
+  // Serves connections, not requests.
+  using RawHandler = std::function<void(Connection& connection)>;
+  Server(const std::string& ip, RawHandler handler, bool raw);
   ~Server();
   std::string address() const { return address_; }
   // Closes the listener and all connections, as the end of a process does.
@@ -101,6 +106,7 @@
   void Accept();
   void Serve(const std::shared_ptr<Connection>& connection);
   Handler handler_;
+  RawHandler raw_handler_;
   int fd_;
   std::string address_;
   std::atomic<bool> stopping_{false};
@@ -156,6 +162,20 @@
                      const std::string& body);
 std::string Chunk(const std::string& bytes);
 
+// Passes connections on to one address, until it is cut: then those that exist
+// are closed and new ones are refused.
+class Proxy {
+ public:
+  Proxy(const std::string& ip, std::string to);
+  std::string address() const { return server_->address(); }
+  void Cut() { server_->Stop(); }
+
+ private:
+  void Pass(Connection& from);
+  std::string to_;
+  std::unique_ptr<Server> server_;
+};
+
 // The machines of a small deployment, one `umbertraild front` each, started
 // with the command and variable of the deploy file.
 class Fleet {
@@ -164,6 +184,8 @@
     int machines = 8;
     int memory_mb = 260;
     std::vector<std::string> zones = {"couva", "penal", "siparia"};
+    // The first machine's own address of the store, if it has one.
+    std::string first_store_address;
   };
   Fleet(const Options& options,
         const std::string& net,
