--- a/review/stand_in/endless_answer.cc
+++ b/review/stand_in/endless_answer.cc
@@ -1,4 +1,4 @@
-// Case 2: some runners now and then hand out bytes that are no answer, without
+// Case 3: some runners now and then hand out bytes that are no answer, without
 // end, in the body of a stream. Other callers' requests must not be lost by it.
 
 #include <algorithm>
--- a/review/stand_in/leaving_in_closed_zone.cc
+++ b/review/stand_in/leaving_in_closed_zone.cc
@@ -1,4 +1,4 @@
-// Case 4: a runner of an evacuated zone says in its answers that it leaves,
+// Case 5: a runner of an evacuated zone says in its answers that it leaves,
 // while the store is down. When the zone is taken back it must get nothing.
 
 #include <algorithm>
@@ -17,9 +17,9 @@
 constexpr int kEvents = 23;
 constexpr double kLingerS = 0.5;
 constexpr int kRunners = 6;
-constexpr int kClients = 9;  // of each machine
+constexpr int kClients = 11;  // of each machine
 // Requests that the leaver has in hand unanswered when the zone is closed: with
-// this traffic it has four to five on average.
+// this traffic it has five to six on average.
 constexpr int kInHand = 5;
 constexpr const char* kLeaver = "llm-0";
 
--- a/review/stand_in/path_of_readiness.cc
+++ b/review/stand_in/path_of_readiness.cc
@@ -1,4 +1,4 @@
-// Case 3: a machine is partitioned from all runners and passes its requests on
+// Case 4: a machine is partitioned from all runners and passes its requests on
 // to others. A client's request with the path /readiness must reach a runner.
 
 #include <algorithm>
