Review case 4: the cut resets the connections

The users' page says that connections to targets hang or are reset; the proxies closed them instead.

Shown by review/4/run.sh, whose proxies now reset what exists and refuse what is new.

--- a/review/stand_in/stand_in.cc
+++ b/review/stand_in/stand_in.cc
@@ -315,6 +315,12 @@
   return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+void Connection::Reset() {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  connect(fd_, &none, sizeof none);
+}
+
 void Connection::Shut() {
   shutdown(fd_, SHUT_RDWR);
 }
@@ -363,7 +369,7 @@
   Stop();
 }
 
-void Server::Stop() {
+void Server::Stop(bool reset) {
   if (stopping_.exchange(true)) {
     return;
   }
@@ -373,7 +379,7 @@
   {
     std::lock_guard<std::mutex> lock(mutex_);
     for (const auto& connection : connections_) {
-      connection->Shut();
+      reset ? connection->Reset() : connection->Shut();
     }
   }
   for (std::thread& thread : threads_) {
--- a/review/stand_in/stand_in.h
+++ b/review/stand_in/stand_in.h
@@ -79,6 +79,8 @@
   static void Pump(Connection& a, Connection& b);
   // Wakes a thread that reads or writes here.
   void Shut();
+  // The same, and the peer sees a reset.
+  void Reset();
 
  private:
   bool Fill(double deadline);
@@ -99,8 +101,9 @@
   Server(const std::string& ip, RawHandler handler, bool raw);
   ~Server();
   std::string address() const { return address_; }
-  // Closes the listener and all connections, as the end of a process does.
-  void Stop();
+  // Closes the listener and all connections, as the end of a process does, or
+  // resets them.
+  void Stop(bool reset = false);
 
  private:
   void Accept();
@@ -163,12 +166,12 @@
 std::string Chunk(const std::string& bytes);
 
 // Passes connections on to one address, until it is cut: then those that exist
-// are closed and new ones are refused.
+// are reset and new ones are refused.
 class Proxy {
  public:
   Proxy(const std::string& ip, std::string to);
   std::string address() const { return server_->address(); }
-  void Cut() { server_->Stop(); }
+  void Cut() { server_->Stop(true); }
 
  private:
   void Pass(Connection& from);
