Review case 3: a request counts only if no faulty target had it

An attempt that had gone to a faulty target first, and to a sound one then, was counted too; the claim says sound ones only.

Shown by review/3/run.sh, which leaves such attempts out now.

--- a/review/stand_in/endless_answer.cc
+++ b/review/stand_in/endless_answer.cc
@@ -61,7 +61,8 @@
 struct Attempt {
   int machine = 0;
   bool kept = false;
-  bool sound = false;  // passed on to runners, all of them sound
+  bool ran = false;
+  bool sound = true;  // passed on to runners, all of them sound
   bool spoiled = false;
 };
 
@@ -105,7 +106,8 @@
       {
         std::lock_guard<std::mutex> lock(mutex);
         Attempt& attempt = attempts[request_id];
-        attempt.sound = !faulty;
+        attempt.sound = attempt.sound && !faulty;
+        attempt.ran = true;
         attempt.spoiled = attempt.spoiled || spoils;
       }
       record.Line("runner %s runs %s%s", id.c_str(), request_id.c_str(),
@@ -209,7 +211,7 @@
         connection.reset();
         std::lock_guard<std::mutex> lock(mutex);
         const Attempt& attempt = attempts[id];
-        if (stop || left || !attempt.kept || !attempt.sound ||
+        if (stop || left || !attempt.kept || !attempt.ran || !attempt.sound ||
             attempt.spoiled) {
           continue;
         }
