Client and server: bound the bytes that a parser leaves unconsumed

Cause: a connection keeps what its parser doesn't consume, and the parser's own limits cover heads only. The line with a chunk's size, chunk extensions and trailers are consumed whole or not at all, so a target that sends bytes without end there fills the connection's buffer as fast as they arrive. A caller could do the same to the server with a chunked body.

Ruled out: heads without end (the limit of 8 KB holds; test below), body bytes (handed on as they arrive).

Change: MessageReader::Feed, where both sides read, fails once more than 16 KB after the head stay unconsumed. The client then reports an unreadable response and closes; the server answers 400. Interim responses (1xx) without end kept a request waiting; 16 are accepted.

--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -114,6 +114,7 @@
   std::array<char, 8192> read_buffer_;
   // Bytes that are not parsed yet.
   std::string buffer_;
+  int interim_responses_ = 0;
   bool reading_ = false;
   bool reading_paused_ = false;
   bool sent_ = false;
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -15,6 +15,8 @@
 constexpr absl::Duration kDefaultIdle = absl::Seconds(4);
 // Fraction of the stated idle timeout for which a connection is reused.
 constexpr double kIdleFraction = 0.7;
+// Interim responses (status 1xx) accepted before the final one.
+constexpr int kMaxInterimResponses = 16;
 
 // Seconds of "timeout=5, max=100"; negative if absent.
 double KeepAliveTimeout(absl::string_view keep_alive) {
@@ -82,6 +84,7 @@
   sent_ = head_delivered_ = response_started_ = extra_bytes_ = reading_paused_ =
       false;
   buffer_.clear();
+  interim_responses_ = 0;
   idle_limit_ = kDefaultIdle;
   timer_.Cancel();
   if (state_ == State::kIdle) {
@@ -221,6 +224,10 @@
 
 // The final response follows and may be partly buffered.
 void ClientConnection::OnInterimResponse() {
+  if (++interim_responses_ > kMaxInterimResponses) {
+    Fail(CallFailure::kUnreadable);
+    return;
+  }
   reader_ = std::make_unique<Reader>(*this);
   reader_->message.skip(response_has_no_body_);
   head_delivered_ = false;
--- a/packages/net/src/parser.h
+++ b/packages/net/src/parser.h
@@ -17,6 +17,10 @@
 // Responses are streamed, not buffered, so their size is not limited.
 inline constexpr uint64_t kUnboundedBody = uint64_t{1} << 50;
 
+// Bytes after the head that the parser may leave unconsumed: the line with a
+// chunk's size and extensions, or the trailer. A head has a limit of its own.
+inline constexpr size_t kMaxUnconsumedBytes = 16384;
+
 // Parses one message; body bytes go to `on_body` as they arrive.
 template <bool IsRequest>
 class MessageReader : public boost::beast::http::basic_parser<IsRequest> {
@@ -30,8 +34,8 @@
     this->eager(true);
   }
 
-  // Returns the number of bytes consumed. Sets `error` if the message is
-  // malformed or over a limit.
+  // Returns the number of bytes consumed; the caller keeps the others for the
+  // next call. Sets `error` if the message is malformed or over a limit.
   size_t Feed(absl::string_view bytes, Error& error) {
     error = {};
     size_t consumed = 0;
@@ -55,6 +59,10 @@
         break;
       }
     }
+    if (!error && !this->is_done() && this->is_header_done() &&
+        bytes.size() - consumed > kMaxUnconsumedBytes) {
+      error = boost::beast::http::error::buffer_overflow;
+    }
     return consumed;
   }
 
--- a/tests/net/client_test.cc
+++ b/tests/net/client_test.cc
@@ -176,6 +176,45 @@
   CHECK(garbage->failure == CallFailure::kUnreadable);
 }
 
+// Writes `bytes` again and again until the client closes, 64 MB at most.
+void WriteEndlessly(FakeConnection& connection, const std::string& bytes) {
+  constexpr size_t kMost = size_t{64} << 20;
+  for (size_t written = 0; written < kMost; written += bytes.size()) {
+    connection.Write(bytes);
+  }
+}
+
+// A target that sends bytes without end took the instance's memory, and with
+// it all requests in hand.
+TEST_CASE("a response whose bytes never end is unreadable") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string heads[] = {"", "HTTP/1.1 200 OK\r\nX-Long: ", chunked,
+                               chunked + "1;", chunked + "0\r\nX-Long: "};
+  for (const std::string& head : heads) {
+    CAPTURE(head);
+    const auto response = ResponseOf([&](FakeConnection& connection) {
+      connection.ReadRequest();
+      connection.Write(head);
+      WriteEndlessly(connection, std::string(65536, '0'));
+    });
+    CHECK_FALSE(response->ended);
+    CHECK(response->failure == CallFailure::kUnreadable);
+  }
+}
+
+TEST_CASE("interim responses without end are unreadable") {
+  const auto response = ResponseOf([](FakeConnection& connection) {
+    connection.ReadRequest();
+    std::string many;
+    for (int i = 0; i < 1000; ++i) {
+      many += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    WriteEndlessly(connection, many);
+  });
+  CHECK(response->failure == CallFailure::kUnreadable);
+}
+
 TEST_CASE("bytes after a response prevent the connection's reuse") {
   bool reusable = true;
   const auto response = ResponseOf(
--- a/tests/net/parser_test.cc
+++ b/tests/net/parser_test.cc
@@ -67,6 +67,34 @@
   }
 }
 
+// Bytes that the parser neither consumes nor rejects fill the reader's buffer
+// for as long as the sender goes on.
+TEST_CASE("bytes without end in a chunked body are rejected") {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string endless(size_t{1} << 20, '0');
+  for (const std::string& start :
+       {std::string(), std::string("1;"), std::string("5\r\nhello\r\n"),
+        std::string("0\r\nX-Trailer: ")}) {
+    for (const size_t size : {size_t{1000}, size_t{8192}, size_t{1} << 20}) {
+      CAPTURE(start, size);
+      CHECK(ReadRequestIn(head + start + endless, size).failed);
+    }
+  }
+}
+
+TEST_CASE("a chunk extension and a trailer of ordinary size are accepted") {
+  const std::string ordinary(4000, 'a');
+  const Read read = ReadRequestIn(
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5;e=" +
+          ordinary + "\r\nhello\r\n0\r\nX-Trailer: " + ordinary + "\r\n\r\n",
+      1000);
+  CHECK_FALSE(read.failed);
+  CHECK(read.done);
+  CHECK(read.body == "hello");
+}
+
 TEST_CASE("arbitrary bytes do not break the parser") {
   CHECK(rc::check([] {
     std::string bytes =
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -124,6 +124,16 @@
   CHECK_THAT(body.ReadToEnd(), Catch::StartsWith("HTTP/1.1 413"));
 }
 
+// Such bytes filled the connection's buffer for as long as the client sent.
+TEST_CASE("a request body whose chunk's size never ends is refused") {
+  Running running(Echo);
+  RawClient client(running.address());
+  client.Send(
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      std::string(size_t{1} << 20, '0'));
+  CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 400"));
+}
+
 TEST_CASE("an incomplete head times out") {
   ServerLimits limits;
   limits.header_timeout = absl::Milliseconds(50);
