Front: bound events, discarded bodies and store responses without end

What callers saw: a request whose target sent an event without an end waited until its time was used up (504), though another target could have served it; the body of a refusal without end cost the time the request had left.

Cause: the same as in the connection (bytes kept until something consumes them, without a bound), one level up: the framer keeps an incomplete event and searched all of it at every read, the store's response is collected whole, a body without use was read to its end.

Change: an event longer than 256 KB is an unreadable response, so a resumable stream goes on at another target; the framer searches new bytes only. A body without use is read up to 64 KB, then its connection is closed. A response of the store over 16 MB is given up and read again in pages. Orders and reports were bounded already (by time and by size).

--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -198,6 +198,7 @@
   bool not_executed_ = false;
   net::ResponseHead response_head_;
   std::string buffered_body_;
+  size_t discarded_bytes_ = 0;
   StreamFramer framer_;
   bool response_started_ = false;
   // The response sent to the client so far is a stream.
--- a/packages/front/include/umbertrail/front/stream_framer.h
+++ b/packages/front/include/umbertrail/front/stream_framer.h
@@ -20,13 +20,19 @@
   std::string TakeRemainder();
   // True if a stream that ended now would end inside an event.
   bool has_incomplete_event() const;
+  // True if the incomplete event is longer than any that a target sends.
+  bool is_event_too_long() const { return pending_.size() > kMaxEventBytes; }
   // Id of the last event taken that had one; empty if none had.
   const std::string& last_event_id() const { return last_event_id_; }
 
  private:
+  static constexpr size_t kMaxEventBytes = 262144;
+
   void UpdateLastEventId(absl::string_view events);
 
   std::string pending_;
+  // Bytes at the start of `pending_` that hold no end of an event.
+  size_t searched_ = 0;
   std::string last_event_id_;
 };
 
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -173,6 +173,7 @@
   target_sent_events_ = false;
   not_executed_ = false;
   buffered_body_.clear();
+  discarded_bytes_ = 0;
   (void)framer_.TakeRemainder();
 }
 
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -25,6 +25,8 @@
 // Non-streamed bodies up to this size are buffered until complete, so that the
 // request can be retried if the response is truncated.
 constexpr size_t kMaxBufferedBody = 131072;
+// Bytes of a body without use that are read to keep its connection.
+constexpr size_t kMaxDiscardedBody = 65536;
 
 }  // namespace
 
@@ -137,6 +139,10 @@
     case ResponseMode::kStream:
       framer_.Add(bytes);
       ForwardStreamEvents();
+      if (framer_.is_event_too_long()) {
+        OnFailure(net::CallFailure::kUnreadable);
+        return;
+      }
       break;
     case ResponseMode::kForward:
       if (response_started_) {
@@ -149,6 +155,13 @@
       }
       break;
     case ResponseMode::kDiscard:
+      discarded_bytes_ += bytes.size();
+      if (discarded_bytes_ > kMaxDiscardedBody) {
+        connection_->Close();
+        OnEnd();
+        return;
+      }
+      break;
     case ResponseMode::kUndecided:
       break;
   }
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -24,6 +24,8 @@
 // state: many changes for many instances saturate the store's link, and
 // requesting all of them again would keep it saturated.
 constexpr absl::Duration kMaxResponseTime = absl::Seconds(3);
+// A page holds about 1 MB; the changes after a long pause may be many.
+constexpr size_t kMaxResponseBytes = size_t{16} << 20;
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(400);
 constexpr absl::Duration kIdleTimeout = absl::Seconds(3);
 // Backoff while the store fails, doubled each time.
@@ -135,6 +137,10 @@
 }
 
 void StoreReader::OnBody(absl::string_view bytes) {
+  if (body_.size() + bytes.size() > kMaxResponseBytes) {
+    Fail("response too long", status_);
+    return;
+  }
   body_.append(bytes.data(), bytes.size());
 }
 
--- a/packages/front/src/stream_framer.cc
+++ b/packages/front/src/stream_framer.cc
@@ -9,15 +9,20 @@
 namespace umbertrail::front {
 namespace {
 
-// Offset after the last complete event, or 0. A blank line ends an event.
-size_t EndOfLastCompleteEvent(absl::string_view text) {
+// A blank line ends an event.
+constexpr absl::string_view kDelimiters[] = {"\n\n", "\r\n\r\n", "\n\r\n"};
+constexpr size_t kLongestDelimiter = 4;
+
+// Offset after the last complete event, or 0. The first `searched` bytes hold
+// no delimiter, but may end with a part of one.
+size_t EndOfLastCompleteEvent(absl::string_view text, size_t searched) {
+  const size_t start = searched - std::min(searched, kLongestDelimiter - 1);
+  const absl::string_view tail = text.substr(start);
   size_t end = 0;
-  for (const absl::string_view delimiter :
-       {absl::string_view("\n\n"), absl::string_view("\r\n\r\n"),
-        absl::string_view("\n\r\n")}) {
-    const size_t at = text.rfind(delimiter);
+  for (const absl::string_view delimiter : kDelimiters) {
+    const size_t at = tail.rfind(delimiter);
     if (at != absl::string_view::npos) {
-      end = std::max(end, at + delimiter.size());
+      end = std::max(end, start + at + delimiter.size());
     }
   }
   return end;
@@ -26,9 +31,10 @@
 }  // namespace
 
 std::string StreamFramer::TakeCompleteEvents() {
-  const size_t end = EndOfLastCompleteEvent(pending_);
+  const size_t end = EndOfLastCompleteEvent(pending_, searched_);
   std::string events = pending_.substr(0, end);
   pending_.erase(0, end);
+  searched_ = pending_.size();
   UpdateLastEventId(events);
   return events;
 }
@@ -36,6 +42,7 @@
 std::string StreamFramer::TakeRemainder() {
   std::string rest;
   rest.swap(pending_);
+  searched_ = 0;
   return rest;
 }
 
--- a/tests/front/stream_framer_test.cc
+++ b/tests/front/stream_framer_test.cc
@@ -37,5 +37,34 @@
   CHECK(framer.last_event_id() == "3");
 }
 
+// Every read searched the whole event so far, and nothing bounded it.
+TEST_CASE("an event without an end becomes too long") {
+  StreamFramer framer;
+  framer.Add("id: 1\ndata: " + std::string(100000, 'x'));
+  CHECK(framer.TakeCompleteEvents().empty());
+  CHECK_FALSE(framer.is_event_too_long());
+  framer.Add(std::string(200000, 'x'));
+  CHECK(framer.TakeCompleteEvents().empty());
+  CHECK(framer.is_event_too_long());
+  framer.Add("\n\n");
+  CHECK(framer.TakeCompleteEvents().size() > 300000);
+  CHECK_FALSE(framer.is_event_too_long());
+}
+
+TEST_CASE("an end of an event is found across any cut") {
+  for (const std::string delimiter : {"\n\n", "\r\n\r\n", "\n\r\n"}) {
+    const std::string stream = "id: 1\ndata: a" + delimiter;
+    for (size_t cut = 0; cut <= stream.size(); ++cut) {
+      CAPTURE(delimiter, cut);
+      StreamFramer framer;
+      framer.Add(stream.substr(0, cut));
+      std::string taken = framer.TakeCompleteEvents();
+      framer.Add(stream.substr(cut));
+      taken += framer.TakeCompleteEvents();
+      CHECK(taken == stream);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace umbertrail::front
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -66,14 +66,15 @@
   }
 }
 
-void FakeConnection::Write(std::string_view bytes) {
+bool FakeConnection::Write(std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t n = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (n <= 0) {
-      return;
+      return false;
     }
     bytes.remove_prefix(static_cast<size_t>(n));
   }
+  return true;
 }
 
 void FakeConnection::AwaitClose() {
--- a/tests/http/fake_server.h
+++ b/tests/http/fake_server.h
@@ -20,7 +20,8 @@
 
   // Reads a request with its body; empty when the client closed.
   std::string ReadRequest();
-  void Write(std::string_view bytes);
+  // False once the client has closed the connection.
+  bool Write(std::string_view bytes);
   // Returns when some bytes have arrived; they are read.
   void AwaitBytes();
   // Returns when the client has closed the connection.
