Front: serve every request that an instance passes on; reject unsealed successes

Cause: the address at which instances pass requests on to each other also answered the question whether the instance is ready, and told the two apart by the path, which clients choose. The instance that had passed the request on then took any success for a target's.

Ruled out: the platform needs that question at the readiness address only, which is a listener of its own and stays as it is; no instance asks it.

Change: the control address serves what WriteRelayedRequest has marked (X-Attempts-Before, which replaces any that a client sent; instances have sent it since requests are passed on, so older builds are served) and answers 404 to all else. A success of another instance counts only if it names the request and bears a target's seal; otherwise the request may have run: a safe one is repeated, others end with 502. response_rejected and not_relayed say so in the log.

wire_names_test lists "/readiness" as text now, as the adapter has no constant for it any more, and the name of the seal beside it.

--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -32,7 +32,7 @@
  private:
   std::optional<std::string> Listen();
   void OnRequest(std::shared_ptr<net::ServerConnection> client);
-  // Serves other instances: their requests, and readiness.
+  // Serves requests that other instances pass on.
   void OnControl(std::shared_ptr<net::ServerConnection> client);
   void OnReadiness(std::shared_ptr<net::ServerConnection> client);
   void OnMetrics(std::shared_ptr<net::ServerConnection> client);
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -57,6 +57,10 @@
   bool SendThroughPeer();
   void OnPeerHead(const net::ResponseHead& head);
   void OnPeerFailure(bool sent);
+  // Handles a response that isn't known to be a target's to this request:
+  // whether the request was executed is unknown.
+  void RejectResponse(const net::ResponseHead& head,
+                      const adapter::ResponseMetadata& metadata);
   bool MayConnectAgain() const;
   // Finds out whether a response that ended with its connection is complete, or
   // the target crashed.
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -25,6 +25,7 @@
 // Part of the grace period left for responses in the socket buffers.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
 constexpr absl::Duration kStopCheckInterval = absl::Milliseconds(50);
+constexpr int kNotFound = 404;
 // Headers that another instance adds to a request.
 constexpr size_t kMaxAddedHeaderBytes = 1024;
 // Polling interval for changes of the settings file.
@@ -150,12 +151,18 @@
 }
 
 void Front::OnControl(std::shared_ptr<net::ServerConnection> client) {
-  if (adapter::IsReadinessProbe(client->request())) {
-    OnReadiness(std::move(client));
-  } else {
-    std::make_shared<Relay>(state_, std::move(client), Relay::Origin::kInstance)
-        ->Start();
+  if (!adapter::IsRelayedRequest(client->request())) {
+    state_.log.Write(EventLog::Level::kImportant, "not_relayed",
+                     {{"path", absl::string_view(client->request().target)}},
+                     BootNow());
+    net::ResponseHead head;
+    head.status = kNotFound;
+    head.reason = "Not Found";
+    client->Respond(std::move(head), "");
+    return;
   }
+  std::make_shared<Relay>(state_, std::move(client), Relay::Origin::kInstance)
+      ->Start();
 }
 
 void Front::OnReadiness(std::shared_ptr<net::ServerConnection> client) {
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -28,6 +28,10 @@
 // Bytes of a body without use that are read to keep its connection.
 constexpr size_t kMaxDiscardedBody = 65536;
 
+bool IsSuccess(const net::ResponseHead& head) {
+  return head.status / 100 == 2;
+}
+
 }  // namespace
 
 void Relay::OnHead(const net::ResponseHead& head) {
@@ -48,8 +52,7 @@
   }
   if (!facts.matches_request && !facts.not_run) {
     // Response to another request: whether this one was executed is unknown.
-    response_mode_ = ResponseMode::kDiscard;
-    OnFailure(net::CallFailure::kUnreadable);
+    RejectResponse(head, facts);
     return;
   }
   response_head_ = head;
@@ -65,9 +68,8 @@
         TargetProcess{target_, target_born_ms_, connection_->endpoint()});
     process_watch_->Start();
   }
-  const bool success = head.status / 100 == 2;
-  response_mode_ =
-      is_stream() && success ? ResponseMode::kStream : ResponseMode::kForward;
+  response_mode_ = is_stream() && IsSuccess(head) ? ResponseMode::kStream
+                                                  : ResponseMode::kForward;
   if (response_mode_ == ResponseMode::kStream) {
     has_stated_length_ = response_head_.length.has_value();
     response_head_.length.reset();
@@ -77,13 +79,33 @@
   }
 }
 
+void Relay::RejectResponse(const net::ResponseHead& head,
+                           const adapter::ResponseMetadata& metadata) {
+  state_.log.Write(EventLog::Level::kImportant, "response_rejected",
+                   {{"request", facts_.id.text()},
+                    {"target", target_.text()},
+                    {"instance", peer_.text()},
+                    {"status", static_cast<int64_t>(head.status)},
+                    {"matches_request", metadata.matches_request},
+                    {"sealed", metadata.sealed}},
+                   BootNow());
+  response_mode_ = ResponseMode::kDiscard;
+  OnFailure(net::CallFailure::kUnreadable);
+}
+
 // The response is the target's, or a refusal by the other instance that is as
 // true here.
 void Relay::OnPeerHead(const net::ResponseHead& head) {
+  const adapter::ResponseMetadata metadata =
+      adapter::ReadResponse(head, facts_.id);
+  if (IsSuccess(head) && !(metadata.matches_request && metadata.sealed)) {
+    RejectResponse(head, metadata);
+    return;
+  }
   response_head_ = head;
   response_head_.headers.RemoveHopByHop();
   response_head_.headers.Remove("Content-Length");
-  if (is_stream() && head.status / 100 == 2) {
+  if (is_stream() && IsSuccess(head)) {
     response_mode_ = ResponseMode::kStream;
     has_stated_length_ = response_head_.length.has_value();
     response_head_.length.reset();
--- a/tests/adapter/request_codec_test.cc
+++ b/tests/adapter/request_codec_test.cc
@@ -139,6 +139,19 @@
   CHECK(ReadResponse(other, RequestId("9c41")).not_run);
 }
 
+TEST_CASE("only a response to this request counts as sealed") {
+  net::ResponseHead head;
+  head.status = 200;
+  head.headers.Add("X-Attempt-Id", "9c41");
+  CHECK_FALSE(ReadResponse(head, RequestId("9c41")).sealed);
+  head.headers.Add("X-Response-Seal", "3e1b.07");
+  CHECK(ReadResponse(head, RequestId("9c41")).sealed);
+  CHECK_FALSE(ReadResponse(head, RequestId("other")).sealed);
+  net::ResponseHead empty;
+  empty.headers.Add("X-Response-Seal", "");
+  CHECK_FALSE(ReadResponse(empty, RequestId("9c41")).sealed);
+}
+
 TEST_CASE("another request's response does not mark this one as not run") {
   net::ResponseHead late;
   late.status = 503;
@@ -210,6 +223,18 @@
   CHECK(head.headers.Count("X-Deadline-Ms") == 1);
 }
 
+TEST_CASE("only what an instance passed on is a relayed request") {
+  CHECK_FALSE(IsRelayedRequest(SampleRequest()));
+  net::RequestHead probe;
+  probe.target = "/readiness";
+  CHECK_FALSE(IsRelayedRequest(probe));
+  net::RequestHead forged = SampleRequest();
+  forged.headers.Add("X-Attempts-Before", "7");
+  const net::RequestHead head = WriteRelayedRequest(forged, {});
+  CHECK(IsRelayedRequest(head));
+  CHECK(MetadataOf(head).attempts_before == 0);
+}
+
 TEST_CASE("what instances tell each other doesn't reach a target") {
   net::RequestHead head = SampleRequest();
   head.headers.Add("X-Attempts-Before", "0");
--- a/tests/adapter/wire_names_test.cc
+++ b/tests/adapter/wire_names_test.cc
@@ -27,14 +27,14 @@
                                wire::kNotExecuted,    wire::kHelpers,
                                wire::kUrgency,        wire::kExpectVersion,
                                wire::kAtServer,       wire::kLastEventId,
-                               wire::kReadinessPath,  wire::kRangePath,
+                               wire::kResponseSeal,   wire::kRangePath,
                                wire::kWatchPath,      wire::kConfigKey,
                                wire::kEvacuatePrefix, wire::kSettingsVariable,
                                "cold_remaining_ms",   "traffic_split",
                                "target_latency_ms",   "gap_aim_ms",
                                "store_revision",      "more_pages",
                                "internal_ports",      "node_name",
-                               "op/evacuate"};
+                               "op/evacuate",         "/readiness"};
   int files = 0;
   for (const auto& entry : fs::recursive_directory_iterator(
            fs::path(UMBERTRAIL_ROOT) / "packages")) {
--- a/tests/front/stranded_instance_test.cc
+++ b/tests/front/stranded_instance_test.cc
@@ -2,16 +2,19 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 #include "front/running_front.h"
 #include "front/stand_in_store.h"
 #include "front/target_answers.h"
 #include "net/raw_client.h"
+#include "peer_message.h"
 
 namespace umbertrail::front {
 namespace {
@@ -25,9 +28,10 @@
 // connections.
 class StrandedFleet {
  public:
-  explicit StrandedFleet(testing::FakeServer::Script script) {
+  explicit StrandedFleet(testing::FakeServer::Script script,
+                         const std::string& config = testing::SampleConfig(1)) {
     for (testing::StandInStore* store : {&store_, &stranded_store_}) {
-      store->Put("op/config", testing::SampleConfig(1));
+      store->Put("op/config", config);
     }
     for (int i = 0; i < kTargets; ++i) {
       targets_.push_back(std::make_unique<FakeServer>(script));
@@ -145,5 +149,116 @@
   CHECK(runs == 2);
 }
 
+// The other instance took a client's request with this path for the question
+// whether it is ready, and its empty 200 reached the client as a success.
+TEST_CASE("a request passed on is served whatever its path") {
+  std::atomic<int> runs{0};
+  StrandedFleet fleet(
+      [&](FakeConnection& connection) {
+        testing::ServeRequests(connection, [&](const std::string& request) {
+          ++runs;
+          return connection.Write(testing::WholeAnswer(request, "done"));
+        });
+      },
+      absl::StrReplaceAll(testing::SampleConfig(1), {{"/once/", "/"}}));
+  const std::string answer =
+      Ask(fleet.stranded_callers(),
+          testing::PlatformRequest("/readiness", "id1", "k1"));
+  CHECK_THAT(answer,
+             Catch::StartsWith("HTTP/1.1 200") && Catch::EndsWith("done"));
+  CHECK(testing::HeaderOf(answer, "X-Response-Seal") == "seal");
+  CHECK(runs == 1);
+}
+
+// A peer on loopback that states that it reaches targets, and answers the
+// requests passed on to it by a script.
+class ScriptedPeer {
+ public:
+  explicit ScriptedPeer(std::string (*answer)(const std::string& request))
+      : server_([answer](FakeConnection& connection) {
+          testing::ServeRequests(connection, [&](const std::string& request) {
+            return connection.Write(answer(request));
+          });
+        }) {
+    store_.Put("op/config", testing::SampleConfig(1));
+    store_.Put("servers/t0",
+               testing::ServerEntry(testing::RefusingAddress(), "ready"));
+    adapter::InstanceSettings settings = testing::LoopbackSettings(store_);
+    settings.ip = "127.0.0.2";
+    settings.control_address =
+        absl::StrReplaceAll(server_.address(), {{"127.0.0.1", settings.ip}});
+    front_ = std::make_unique<testing::RunningFront>(settings);
+    front_->AwaitReady();
+    gossip_ = std::thread([this, port = settings.peer_port] { Gossip(port); });
+    // The instance has heard of the peer.
+    absl::SleepFor(absl::Milliseconds(300));
+  }
+  ~ScriptedPeer() {
+    stopped_.Notify();
+    gossip_.join();
+  }
+
+  const std::string& callers() const { return front_->callers(); }
+
+ private:
+  void Gossip(int port) {
+    using Udp = boost::asio::ip::udp;
+    using boost::asio::ip::make_address_v4;
+    net::Loop loop(1);
+    Udp::socket socket(loop, Udp::endpoint(make_address_v4("127.0.0.1"), 0));
+    const Udp::endpoint to(make_address_v4("127.0.0.2"),
+                           static_cast<uint16_t>(port));
+    PeerMessage message;
+    message.incarnation = 9;
+    message.reaches_targets = true;
+    do {
+      ++message.sequence;
+      socket.send_to(boost::asio::buffer(EncodePeerMessage(message) +
+                                         EncodePeerTrailer(PeerTrailer())),
+                     to);
+    } while (!stopped_.WaitForNotificationWithTimeout(absl::Milliseconds(50)));
+  }
+
+  testing::StandInStore store_;
+  FakeServer server_;
+  std::unique_ptr<testing::RunningFront> front_;
+  absl::Notification stopped_;
+  std::thread gossip_;
+};
+
+// Whoever sends it: a success that no target signed must not reach a client.
+TEST_CASE("another instance's success without a target's seal is rejected") {
+  ScriptedPeer unsigned_peer([](const std::string& request) {
+    return absl::StrCat("HTTP/1.1 200 OK\r\nX-Attempt-Id: ",
+                        testing::HeaderOf(request, "X-Attempt-Id"),
+                        "\r\nContent-Length: 5\r\n\r\nwrong");
+  });
+  for (const std::string path : {"/once/x", "/live/x"}) {
+    CHECK_THAT(Ask(unsigned_peer.callers(),
+                   testing::PlatformRequest(path, "id1", "k1")),
+               Catch::StartsWith("HTTP/1.1 502"));
+  }
+}
+
+TEST_CASE("another instance's success for another request is rejected") {
+  ScriptedPeer confused_peer([](const std::string&) {
+    return std::string(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Seal: seal\r\n"
+        "Content-Length: 5\r\n\r\nwrong");
+  });
+  CHECK_THAT(Ask(confused_peer.callers(),
+                 testing::PlatformRequest("/once/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 502"));
+}
+
+TEST_CASE("another instance's sealed success is passed on") {
+  ScriptedPeer peer([](const std::string& request) {
+    return testing::WholeAnswer(request, "done");
+  });
+  CHECK_THAT(
+      Ask(peer.callers(), testing::PlatformRequest("/once/x", "id1", "k1")),
+      Catch::StartsWith("HTTP/1.1 200") && Catch::EndsWith("done"));
+}
+
 }  // namespace
 }  // namespace umbertrail::front
