Front: a target's success without its seal is no answer

Change: one function decides whether a head is a target's answer to this request, for targets and instances: it names the request, and a success bears a seal. It decides before a byte is passed on. What is rejected may have run: safe requests and resumable streams go on at another target, others end with 502.

--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -32,6 +32,12 @@
   return head.status / 100 == 2;
 }
 
+// A target's answer to this request; a success must also bear its seal.
+bool IsTargetsAnswer(const net::ResponseHead& head,
+                     const adapter::ResponseMetadata& metadata) {
+  return metadata.matches_request && (metadata.sealed || !IsSuccess(head));
+}
+
 }  // namespace
 
 void Relay::OnHead(const net::ResponseHead& head) {
@@ -50,8 +56,7 @@
   if (!facts.failed_address.empty()) {
     ExcludeHelper(facts.failed_address);
   }
-  if (!facts.matches_request && !facts.not_run) {
-    // Response to another request: whether this one was executed is unknown.
+  if (!facts.not_run && !IsTargetsAnswer(head, facts)) {
     RejectResponse(head, facts);
     return;
   }
@@ -98,7 +103,8 @@
 void Relay::OnPeerHead(const net::ResponseHead& head) {
   const adapter::ResponseMetadata metadata =
       adapter::ReadResponse(head, facts_.id);
-  if (IsSuccess(head) && !(metadata.matches_request && metadata.sealed)) {
+  // Its own refusals name no request.
+  if (IsSuccess(head) && !IsTargetsAnswer(head, metadata)) {
     RejectResponse(head, metadata);
     return;
   }
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -113,6 +113,46 @@
   CHECK(HeaderOf(request, "Authorization") == "none");
 }
 
+// The seal's name, as a garbled head may spell it; the answer is no target's.
+std::string WithoutSeal(const std::string& answer) {
+  return absl::StrReplaceAll(answer, {{"X-Response-Seal", "X-Resp%nse-Seal"}});
+}
+
+// A client can't tell an unsealed success from a target's answer.
+TEST_CASE("a success without a seal doesn't reach the client") {
+  Fleet fleet(2, [](FakeConnection& connection, const std::string& request) {
+    const std::string whole =
+        absl::StartsWith(request, "POST /live/")
+            ? StreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n"
+            : WholeAnswer(request, "done");
+    connection.Write(WithoutSeal(whole));
+  });
+  ReadyFront front(fleet);
+  for (const std::string path : {"/once/x", "/live/x"}) {
+    CHECK_THAT(Ask(front.callers(), PlatformRequest(path, "id1", "k1")),
+               Catch::StartsWith("HTTP/1.1 502"));
+  }
+  CHECK(fleet.requests().size() == 2);
+}
+
+TEST_CASE("a safe request or a stream goes on after an unsealed success") {
+  std::atomic<int> requests{0};
+  Fleet fleet(2, [&](FakeConnection& connection, const std::string& request) {
+    const std::string whole =
+        absl::StartsWith(request, "POST /stream/")
+            ? StreamHead(request) + Chunk(Event(1)) + "0\r\n\r\n"
+            : WholeAnswer(request, "done");
+    connection.Write(++requests % 2 == 1 ? WithoutSeal(whole) : whole);
+  });
+  ReadyFront front(fleet);
+  for (const std::string path : {"/safe/x", "/stream/x"}) {
+    const std::string answer =
+        Ask(front.callers(), PlatformRequest(path, "id1", "k1"));
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
+    CHECK(HeaderOf(answer, "X-Response-Seal") == "seal");
+  }
+}
+
 TEST_CASE(
     "requests the configuration does not allow are rejected, never sent") {
   Fleet fleet(1, AnswerOk);
