Admission: accounts without a key admit nobody

Cause: the configuration kept its keys alone. One whose accounts hold no key, or that lists no account any more, couldn't be told from one without accounts, which requires no key.

Ruled out: the view's age (the first removed key is refused in time) and a cache of keys (there is none).

Change: accounts_by_key is absent where the configuration has no 'tenants', and empty where it has them without a key. Where 'tenants' is no list of accounts the configuration is unreadable. config_in_force says whether there are accounts.

--- a/packages/dispatch/include/umbertrail/dispatch/config.h
+++ b/packages/dispatch/include/umbertrail/dispatch/config.h
@@ -100,8 +100,9 @@
   std::vector<Route> routes;
   std::map<ServiceId, Service> services;
   ClientLimits limits;
-  // By API key. Empty if no account is configured: then no key is required.
-  absl::flat_hash_map<std::string, Account> accounts_by_key;
+  // By API key. None if the configuration has no accounts: then no key is
+  // required. Accounts may hold no key, which then admits nobody.
+  std::optional<absl::flat_hash_map<std::string, Account>> accounts_by_key;
 };
 
 // A target's own registration.
--- a/packages/dispatch/src/admission.cc
+++ b/packages/dispatch/src/admission.cc
@@ -81,16 +81,16 @@
   if (route == nullptr) {
     return may_deny ? Refusal::kNoRoute : Refusal::kConfigUnconfirmed;
   }
-  if (route->is_public || view.config().accounts_by_key.empty()) {
+  const auto& accounts = view.config().accounts_by_key;
+  if (route->is_public || !accounts) {
     return Admitted{route, nullptr};
   }
   if (bounds.strict_revocation && age > bounds.max_revocation_delay) {
     return Refusal::kKeysUnconfirmed;
   }
-  const auto& accounts = view.config().accounts_by_key;
   const auto account =
-      request.key ? accounts.find(*request.key) : accounts.end();
-  if (account == accounts.end()) {
+      request.key ? accounts->find(*request.key) : accounts->end();
+  if (account == accounts->end()) {
     return may_deny ? Refusal::kBadKey : Refusal::kConfigUnconfirmed;
   }
   return Admitted{route, &account->second};
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -314,7 +314,11 @@
         EventLog::Level::kImportant, "config_in_force",
         {{"version", static_cast<int64_t>(config->config.version)},
          {"routes", static_cast<int64_t>(config->config.routes.size())},
-         {"keys", static_cast<int64_t>(config->config.accounts_by_key.size())},
+         {"accounts", config->config.accounts_by_key.has_value()},
+         {"keys",
+          static_cast<int64_t>(config->config.accounts_by_key
+                                   ? config->config.accounts_by_key->size()
+                                   : 0)},
          {"revision", revision}},
         now);
   } else if (const auto* target =
--- a/tests/adapter/config_codec_test.cc
+++ b/tests/adapter/config_codec_test.cc
@@ -60,10 +60,41 @@
   CHECK(service.engine->kv_capacity == Tokens(405000));
   CHECK(service.cold_requests_per_s == 36);
   CHECK_FALSE(config.services.at(ServiceId("s2")).engine);
-  CHECK(config.accounts_by_key.at("k2").id.text() == "club");
+  CHECK(config.accounts_by_key->at("k2").id.text() == "club");
   CHECK(config.limits.max_body_bytes == 2000);
 }
 
+// A configuration whose keys were all taken away admitted every request, as if
+// it had no accounts.
+TEST_CASE("accounts without a key aren't the absence of accounts") {
+  json config = SampleConfig();
+  config["tenants"][0]["api_keys"] = json::array();
+  const auto no_key = ReadConfig(config.dump());
+  REQUIRE(IsOk(no_key));
+  REQUIRE(ValueOf(no_key).accounts_by_key);
+  CHECK(ValueOf(no_key).accounts_by_key->empty());
+  config["tenants"][0].erase("api_keys");
+  CHECK(ValueOf(ReadConfig(config.dump())).accounts_by_key);
+  config["tenants"] = json::array();
+  CHECK(ValueOf(ReadConfig(config.dump())).accounts_by_key);
+  config.erase("tenants");
+  CHECK_FALSE(ValueOf(ReadConfig(config.dump())).accounts_by_key);
+}
+
+TEST_CASE("accounts of another type make a configuration unreadable") {
+  for (const json& tenants :
+       {json(nullptr), json("club"), json(7), json::object(),
+        json{{"club", {{"name", "club"}}}}, json{nullptr}, json{"club"},
+        json{{{"name", 1}}}, json{{{"name", "club"}, {"api_keys", "k1"}}},
+        json{{{"name", "club"}, {"api_keys", {1}}}},
+        json{{{"name", "club"}, {"api_keys", nullptr}}}}) {
+    json config = SampleConfig();
+    config["tenants"] = tenants;
+    CAPTURE(config["tenants"].dump());
+    CHECK_FALSE(IsOk(ReadConfig(config.dump())));
+  }
+}
+
 TEST_CASE("a route of an unknown kind is never retried") {
   json config = SampleConfig();
   config["routes"][0]["kind"] = "something";
--- a/tests/dispatch/admission_test.cc
+++ b/tests/dispatch/admission_test.cc
@@ -18,7 +18,7 @@
   route.prefix = "/open/";
   route.is_public = true;
   config.routes.push_back(route);
-  config.accounts_by_key[key] = {ClientAccountId("club"), 1};
+  config.accounts_by_key.emplace()[key] = {ClientAccountId("club"), 1};
   return config;
 }
 
@@ -58,6 +58,34 @@
         Refusal::kNoRoute);
 }
 
+// With the last key gone every request was admitted, without an account.
+TEST_CASE("accounts without a key admit nobody, but to a public route") {
+  FleetConfig config = ConfigWithKey(2, "k1");
+  config.accounts_by_key->clear();
+  FleetView view = ViewAt(kStart);
+  view.Apply({2, ConfigChange{config}}, kStart);
+  for (const auto& key :
+       {std::optional<std::string>("k1"), std::optional<std::string>("never"),
+        std::optional<std::string>()}) {
+    CHECK(RefusalOf(Admit(view, {"a.example", "/x/1", key}, {}, kStart)) ==
+          Refusal::kBadKey);
+  }
+  CHECK(std::holds_alternative<Admitted>(
+      Admit(view, {"a.example", "/open/1", std::nullopt}, {}, kStart)));
+}
+
+TEST_CASE("a configuration without accounts requires no key") {
+  FleetConfig config = ConfigWithKey(2, "k1");
+  config.accounts_by_key.reset();
+  FleetView view;
+  view.Apply({2, ConfigChange{config}}, kStart);
+  view.RecordConfirmation(kStart);
+  const auto result =
+      Admit(view, {"a.example", "/x/1", std::nullopt}, {}, kStart);
+  REQUIRE(std::holds_alternative<Admitted>(result));
+  CHECK(std::get<Admitted>(result).account == nullptr);
+}
+
 TEST_CASE("a stale view doesn't deny unknown keys or routes") {
   const FleetView view = ViewAt(kStart);
   const AdmissionBounds bounds;
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -164,6 +164,27 @@
   CHECK(fleet.requests().empty());
 }
 
+// The end of the last key admitted every request.
+TEST_CASE("no request runs once the last API key is taken away") {
+  Fleet fleet(1, AnswerOk);
+  ReadyFront front(fleet);
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 200"));
+  fleet.store().Put("op/config", absl::StrReplaceAll(testing::SampleConfig(2),
+                                                     {{R"(["k1"])", "[]"}}));
+  std::string answer;
+  for (int i = 2; i < 200 && !absl::StartsWith(answer, "HTTP/1.1 401"); ++i) {
+    answer = Ask(front.callers(),
+                 PlatformRequest("/once/x", absl::StrCat("id", i), "k1"));
+    absl::SleepFor(absl::Milliseconds(10));
+  }
+  CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 401"));
+  const size_t runs = fleet.requests().size();
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "a", "never")),
+             Catch::StartsWith("HTTP/1.1 401"));
+  CHECK(fleet.requests().size() == runs);
+}
+
 TEST_CASE("an instance without a configuration is not ready and answers 503") {
   StandInStore store;
   RunningFront front(testing::LoopbackSettings(store));
