Fleet view: a configuration that can't be read confirms no key

Cause: an unreadable configuration was logged and left out, and each later read of the store still confirmed the one before.

Change: it is a change of its own, ordered by revision as any other. From then on the configuration in force ages, so keyed requests are refused with 503 after the revocation bound, unknown routes and keys aren't denied any more, and the instance isn't ready, until a readable one arrives. Public routes go on. Polls and peers' confirmations still follow the store's age.

store_codec_test expected two changes of a page with an unreadable configuration; it is three now, the third checked.

--- a/packages/dispatch/include/umbertrail/dispatch/fleet_view.h
+++ b/packages/dispatch/include/umbertrail/dispatch/fleet_view.h
@@ -1,6 +1,7 @@
 #ifndef UMBERTRAIL_DISPATCH_FLEET_VIEW_H_
 #define UMBERTRAIL_DISPATCH_FLEET_VIEW_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -22,6 +23,8 @@
 struct ConfigChange {
   FleetConfig config;
 };
+// The configuration changed to one that can't be read.
+struct ConfigUnreadable {};
 struct TargetChange {
   TargetEntry entry;
 };
@@ -35,6 +38,7 @@
   DataCentreId data_centre;
 };
 using Change = std::variant<ConfigChange,
+                            ConfigUnreadable,
                             TargetChange,
                             TargetGone,
                             DataCentreClosed,
@@ -91,6 +95,11 @@
   }
   const RouteTable& routes() const { return routes_; }
   absl::Time confirmed_at() const { return confirmed_at_; }
+  // Latest time at which the configuration in force was the store's: earlier
+  // than confirmed_at() while the store holds one that can't be read.
+  absl::Time config_confirmed_at() const {
+    return std::min(confirmed_at_, config_unreadable_since_);
+  }
 
   const std::map<TargetId, TargetEntry>& targets() const { return targets_; }
   // Incremented whenever a target is added, removed or changed.
@@ -112,6 +121,7 @@
   std::shared_ptr<const FleetConfig> config_;
   RouteTable routes_;
   absl::Time confirmed_at_ = absl::InfinitePast();
+  absl::Time config_unreadable_since_ = absl::InfiniteFuture();
   absl::Time outage_grace_until_ = absl::InfinitePast();
   std::map<TargetId, TargetEntry> targets_;
   uint64_t target_changes_ = 0;
--- a/packages/dispatch/src/admission.cc
+++ b/packages/dispatch/src/admission.cc
@@ -75,7 +75,7 @@
   if (!view.has_config()) {
     return Refusal::kNoConfig;
   }
-  const absl::Duration age = now - view.confirmed_at();
+  const absl::Duration age = now - view.config_confirmed_at();
   const bool may_deny = age <= bounds.max_denial_age;
   const Route* route = view.routes().Find(request.host, request.path);
   if (route == nullptr) {
--- a/packages/dispatch/src/fleet_view.cc
+++ b/packages/dispatch/src/fleet_view.cc
@@ -21,6 +21,7 @@
 // Store key of the entry that a change affects.
 struct KeyOfChange {
   std::string operator()(const ConfigChange&) const { return kConfigKey; }
+  std::string operator()(const ConfigUnreadable&) const { return kConfigKey; }
   std::string operator()(const TargetChange& c) const {
     return KeyOf(c.entry.id);
   }
@@ -52,8 +53,11 @@
     if (config_ != nullptr && config->config.version < config_->version) {
       return false;
     }
+    config_unreadable_since_ = absl::InfiniteFuture();
     config_ = std::make_shared<const FleetConfig>(config->config);
     routes_ = RouteTable(config_->routes);
+  } else if (std::holds_alternative<ConfigUnreadable>(revised.change)) {
+    config_unreadable_since_ = std::min(config_unreadable_since_, now);
   } else if (const auto* target = std::get_if<TargetChange>(&revised.change)) {
     targets_[target->entry.id] = target->entry;
     ++target_changes_;
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -174,8 +174,8 @@
         {{"ready", ready},
          {"stopping", stopping_},
          {"targets", static_cast<int64_t>(state_.view.targets().size())},
-         {"config_age_ms",
-          absl::ToInt64Milliseconds(BootNow() - state_.view.confirmed_at())}},
+         {"config_age_ms", absl::ToInt64Milliseconds(
+                               BootNow() - state_.view.config_confirmed_at())}},
         BootNow());
   }
   net::ResponseHead head;
@@ -188,7 +188,7 @@
   Gauges gauges;
   if (state_.view.has_config()) {
     gauges.config_version = static_cast<double>(state_.view.config().version);
-    gauges.config_age = BootNow() - state_.view.confirmed_at();
+    gauges.config_age = BootNow() - state_.view.config_confirmed_at();
   }
   gauges.targets = static_cast<double>(state_.view.targets().size());
   gauges.open_requests = static_cast<double>(callers_.busy());
@@ -207,7 +207,7 @@
     return false;
   }
   return !state_.settings.strict_revocation ||
-         BootNow() - state_.view.confirmed_at() < kReadyAge;
+         BootNow() - state_.view.config_confirmed_at() < kReadyAge;
 }
 
 void Front::OnViewChange() {
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -500,8 +500,8 @@
        {"left_ms", route_ == nullptr
                        ? -1
                        : absl::ToInt64Milliseconds(deadline_ - BootNow())},
-       {"config_age_ms",
-        absl::ToInt64Milliseconds(BootNow() - state_.view.confirmed_at())},
+       {"config_age_ms", absl::ToInt64Milliseconds(
+                             BootNow() - state_.view.config_confirmed_at())},
        {"cut", response_started_}},
       BootNow());
   if (response_started_) {
--- a/tests/adapter/store_codec_test.cc
+++ b/tests/adapter/store_codec_test.cc
@@ -74,7 +74,9 @@
   const auto read = ReadPage(page.dump());
   REQUIRE(IsOk(read));
   CHECK(ValueOf(read).faults.size() == 2);
-  REQUIRE(ValueOf(read).changes.size() == 2);
+  REQUIRE(ValueOf(read).changes.size() == 3);
+  CHECK(std::holds_alternative<dispatch::ConfigUnreadable>(
+      ValueOf(read).changes[2].change));
   CHECK(std::holds_alternative<dispatch::TargetGone>(
       ValueOf(read).changes[0].change));
   CHECK(std::holds_alternative<dispatch::TargetChange>(
--- a/tests/dispatch/admission_test.cc
+++ b/tests/dispatch/admission_test.cc
@@ -115,6 +115,26 @@
       Admit(view, {"a.example", "/x/1", "k1"}, loose, late)));
 }
 
+// The instance went on with the keys of the configuration before, confirmed by
+// every read, though the new one may have taken them away.
+TEST_CASE("keys aren't confirmed by a configuration that can't be read") {
+  FleetView view = ViewAt(kStart);
+  view.Apply({2, ConfigUnreadable{}}, kStart);
+  const AdmissionBounds bounds;
+  const absl::Time late =
+      kStart + bounds.max_revocation_delay + absl::Milliseconds(1);
+  view.RecordConfirmation(late);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/x/1", "k1"}, bounds, late)) ==
+        Refusal::kKeysUnconfirmed);
+  CHECK(RefusalOf(Admit(view, {"a.example", "/y/1", "k1"}, bounds, late)) ==
+        Refusal::kConfigUnconfirmed);
+  CHECK(std::holds_alternative<Admitted>(
+      Admit(view, {"a.example", "/open/1", std::nullopt}, bounds, late)));
+  view.Apply({3, ConfigChange{ConfigWithKey(2, "k2")}}, late);
+  CHECK(std::holds_alternative<Admitted>(
+      Admit(view, {"a.example", "/x/1", "k2"}, bounds, late)));
+}
+
 TEST_CASE("statuses of possibly executed requests don't promise otherwise") {
   for (const Refusal refusal :
        {Refusal::kNoConfig, Refusal::kKeysUnconfirmed,
--- a/tests/dispatch/fleet_view_test.cc
+++ b/tests/dispatch/fleet_view_test.cc
@@ -42,6 +42,25 @@
   CHECK(view.config().version == 9);
 }
 
+TEST_CASE("the configuration's age runs while the store's can't be read") {
+  FleetView view;
+  view.Apply(ConfigAt(5, 7), kStart);
+  view.RecordConfirmation(kStart + absl::Seconds(1));
+  CHECK(view.config_confirmed_at() == kStart + absl::Seconds(1));
+  CHECK(view.Apply({6, ConfigUnreadable{}}, kStart + absl::Seconds(2)));
+  CHECK(view.Apply({7, ConfigUnreadable{}}, kStart + absl::Seconds(3)));
+  CHECK_FALSE(view.Apply({6, ConfigUnreadable{}}, kStart + absl::Seconds(3)));
+  view.RecordConfirmation(kStart + absl::Seconds(9));
+  CHECK(view.confirmed_at() == kStart + absl::Seconds(9));
+  CHECK(view.config_confirmed_at() == kStart + absl::Seconds(2));
+  CHECK(view.config().version == 7);
+  // An older version doesn't end it.
+  CHECK_FALSE(view.Apply(ConfigAt(8, 6), kStart + absl::Seconds(9)));
+  CHECK(view.config_confirmed_at() == kStart + absl::Seconds(2));
+  CHECK(view.Apply(ConfigAt(9, 8), kStart + absl::Seconds(9)));
+  CHECK(view.config_confirmed_at() == kStart + absl::Seconds(9));
+}
+
 TEST_CASE("a draining target and a closed data centre get no work") {
   FleetView view;
   view.Apply({1, TargetChange{Entry("a")}}, kStart);
--- a/tests/front/front_test.cc
+++ b/tests/front/front_test.cc
@@ -185,6 +185,25 @@
   CHECK(fleet.requests().size() == runs);
 }
 
+// The keys of the configuration before stayed in force for good.
+TEST_CASE("keys end in time when the store's configuration can't be read") {
+  Fleet fleet(1, AnswerOk);
+  ReadyFront front(fleet);
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "id1", "k1")),
+             Catch::StartsWith("HTTP/1.1 200"));
+  fleet.store().Put("op/config", R"({"version":2,"routes":"none"})");
+  const absl::Duration revoke = testing::LoopbackSettings(fleet.store()).revoke;
+  // Time for the watch to deliver the change, and for a busy machine.
+  absl::SleepFor(revoke + absl::Seconds(2));
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "id2", "k1")),
+             Catch::StartsWith("HTTP/1.1 503"));
+  CHECK_FALSE(front.IsReady());
+  fleet.store().Put("op/config", testing::SampleConfig(3));
+  front.AwaitReady();
+  CHECK_THAT(Ask(front.callers(), PlatformRequest("/once/x", "id3", "k1")),
+             Catch::StartsWith("HTTP/1.1 200"));
+}
+
 TEST_CASE("an instance without a configuration is not ready and answers 503") {
   StandInStore store;
   RunningFront front(testing::LoopbackSettings(store));
