Server: a complete response is delivered before its connection closes

What callers saw: around a planned stop, a stream that its target had completed ended without its last bytes ("no whole answer around SIGTERM", status there, then closed); the instance logged it as answered.

Cause: a connection whose last response was complete counted as idle while the response was still on its way, with a flag for "lingering" beside the state. A stopping instance closes idle connections every 50 ms, and so cut it: what was not written yet, or what the client's host had not taken when more input came. Without a stop the same was cut 1 s after the response was complete, as that time didn't run from the client's progress; and on a kept connection when the idle time was over. A client that had closed its sending side lost what was not written yet.

Ruled out: the target's end of the connection and the relay (the targets' runs were complete, "answered" logged), the grace period (3.2 to 5.1 s after SIGTERM).

Change: a state of its own, kDelivering, instead of the flag. Such a connection closes 1 s after the client's host has acknowledged all bytes, or when it has acknowledged none for 6 s, the limit that all connections to clients have. An idle connection with bytes on their way goes over into it when it is to be closed. The write queue counts what the socket has taken of a write in progress, which with the kernel's count of unacknowledged bytes gives the client's progress. CountUndelivered says how many connections handle a request or deliver a response; a stop ends when callers and other instances have theirs, before it looked at busy(), which a complete response has left. stop_over says how many responses for callers and for instances were cut.

--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -263,8 +263,8 @@
   }
   if (since >= kListenAfterStop + kFirstRequestTime) {
     callers_.CloseIdle();
-    // Clients must also have read the last bytes of their responses.
-    if (callers_.connections() == 0 && control_.busy() == 0) {
+    // Clients and instances must also have the last bytes of their responses.
+    if (callers_.connections() == 0 && control_.CountUndelivered() == 0) {
       End();
       return;
     }
@@ -282,9 +282,12 @@
 }
 
 void Front::End() {
-  state_.log.Write(EventLog::Level::kImportant, "stop_over",
-                   {{"cut_requests", static_cast<int64_t>(callers_.busy())}},
-                   BootNow());
+  state_.log.Write(
+      EventLog::Level::kImportant, "stop_over",
+      {{"cut_requests", static_cast<int64_t>(callers_.CountUndelivered())},
+       {"cut_for_instances",
+        static_cast<int64_t>(control_.CountUndelivered())}},
+      BootNow());
   callers_.CloseAll();
   control_.CloseAll();
   peers_->Stop();
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -70,7 +70,15 @@
 
  private:
   friend class HttpServer;
-  enum class State { kIdle, kReadingHead, kReadingBody, kResponding, kClosed };
+  enum class State {
+    kIdle,
+    kReadingHead,
+    kReadingBody,
+    kResponding,
+    // The last response is complete and on its way to the client.
+    kDelivering,
+    kClosed
+  };
 
   void Start();
   void ReadMore();
@@ -90,9 +98,19 @@
   void CloseWhenSent();
   // Whether closing the connection resets it.
   void SetResetOnClose(bool reset);
-  // Half-closes and drains the connection first, so that sent bytes are not
-  // lost.
-  void LingeringClose();
+  // Delivers the last response, then closes. Reads and discards what the client
+  // still sends, as unread bytes would reset the connection.
+  void BeginDelivery();
+  // Closes the connection once the client has had time to see the response's
+  // end, or makes no progress.
+  void CheckDelivery();
+  void ShutDownWhenWritten();
+  // Closes an idle connection, after its last response has been delivered.
+  void CloseOrDeliver();
+  // False while bytes are on their way to the client.
+  bool IsDelivered();
+  // Sent bytes that the client's host has not acknowledged; 0 if unknown.
+  size_t UnacknowledgedBytes();
   void PrepareNext();
 
   HttpServer& server_;
@@ -102,13 +120,17 @@
   State state_ = State::kIdle;
   bool reading_ = false;
   bool close_after_response_ = false;
-  bool lingering_ = false;
+  // The client sends nothing more, but may still read.
+  bool input_ended_ = false;
   bool chunked_response_ = false;
   bool bodyless_response_ = false;
   // The response in progress has neither a length nor chunks.
   bool ends_with_connection_ = false;
   // Until an aborted connection is closed though bytes are on their way.
   int send_checks_left_ = 0;
+  // While delivering: bytes acknowledged so far, and checks since the last.
+  uint64_t acknowledged_bytes_ = 0;
+  int checks_without_progress_ = 0;
   std::array<char, 4096> read_buffer_;
   // Bytes that are not parsed yet.
   std::string buffer_;
@@ -138,12 +160,16 @@
   // From now on each response carries `Connection: close`.
   void StartDraining() { draining_ = true; }
   bool draining() const { return draining_; }
-  // Closes idle connections; the others close after their request, and a
-  // request that is still being read is refused.
+  // Closes idle connections; the others close after their response has been
+  // delivered, and a request that is still being read is refused.
   void CloseIdle();
+  // Closes all connections, whatever is on its way.
   void CloseAll();
-  // Connections that are handling a request.
+  // Connections that are handling a request. Its response may be on its way
+  // afterwards.
   size_t busy() const { return busy_; }
+  // Connections that are handling a request or have not delivered a response.
+  size_t CountUndelivered() const;
   size_t connections() const { return connections_.size(); }
 
  private:
--- a/packages/net/include/umbertrail/net/socket.h
+++ b/packages/net/include/umbertrail/net/socket.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -41,6 +42,8 @@
   void Push(std::string bytes, const std::shared_ptr<void>& keep);
   // Bytes that are not written yet.
   size_t pending_bytes() const { return pending_bytes_; }
+  // Bytes that the socket has accepted since the queue was made.
+  uint64_t written_bytes() const { return written_bytes_; }
 
  private:
   void WriteNext(const std::shared_ptr<void>& keep);
@@ -50,6 +53,9 @@
   std::deque<std::string> pending_;
   std::deque<std::string> writing_;
   size_t pending_bytes_ = 0;
+  uint64_t written_bytes_ = 0;
+  // Bytes of the write in progress that are counted in `written_bytes_`.
+  size_t counted_bytes_ = 0;
   bool failed_ = false;
 };
 
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -3,6 +3,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <vector>
 
@@ -19,8 +20,10 @@
 constexpr size_t kMaxReadAhead = 65536;
 // A client that acknowledges no bytes for this long is considered gone.
 constexpr absl::Duration kClientAckTimeout = absl::Seconds(6);
-// How long a closing connection waits for the client to read the rest.
+// How long a connection whose last response has been delivered waits for the
+// client to close, and an aborted one for the client to read the rest.
 constexpr absl::Duration kLingerTimeout = absl::Seconds(1);
+constexpr absl::Duration kDeliveryCheckInterval = absl::Milliseconds(100);
 // How often an aborted connection is checked for bytes on their way.
 constexpr absl::Duration kSendCheckInterval = absl::Milliseconds(2);
 // Delay before accepting again when file descriptors have run out.
@@ -69,7 +72,7 @@
 }
 
 void ServerConnection::ReadMore() {
-  if (reading_ || state_ == State::kClosed) {
+  if (reading_ || input_ended_ || state_ == State::kClosed) {
     return;
   }
   if (state_ == State::kResponding && buffer_.size() >= kMaxReadAhead) {
@@ -95,7 +98,7 @@
     OnReadError(error);
     return;
   }
-  if (lingering_) {
+  if (state_ == State::kDelivering) {
     buffer_.clear();
     ReadMore();
     return;
@@ -110,7 +113,7 @@
   ReadMore();
 }
 
-void ServerConnection::OnReadError(const boost::system::error_code&) {
+void ServerConnection::OnReadError(const boost::system::error_code& error) {
   if (state_ == State::kResponding) {
     if (const auto observer = observer_) {
       Close();
@@ -118,6 +121,16 @@
       return;
     }
   }
+  const bool response_complete =
+      state_ == State::kIdle || state_ == State::kDelivering;
+  if (error == boost::asio::error::eof && response_complete &&
+      writes_.pending_bytes() > 0) {
+    input_ended_ = true;
+    if (state_ == State::kIdle) {
+      BeginDelivery();
+    }
+    return;
+  }
   Close();
 }
 
@@ -276,8 +289,7 @@
   }
   --server_.busy_;
   if (close_after_response_ || server_.refusing_requests_) {
-    state_ = State::kIdle;
-    LingeringClose();
+    BeginDelivery();
     return;
   }
   PrepareNext();
@@ -304,11 +316,18 @@
   Close();
 }
 
+size_t ServerConnection::UnacknowledgedBytes() {
+  int bytes = 0;
+  const bool known = ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known ? static_cast<size_t>(bytes) : 0;
+}
+
+bool ServerConnection::IsDelivered() {
+  return writes_.pending_bytes() == 0 && UnacknowledgedBytes() == 0;
+}
+
 void ServerConnection::CloseWhenSent() {
-  int in_kernel = 0;
-  const bool known = ioctl(socket_.native_handle(), SIOCOUTQ, &in_kernel) == 0;
-  const bool is_sent = writes_.pending_bytes() == 0 && in_kernel == 0;
-  if (is_sent || !known || send_checks_left_-- == 0) {
+  if (IsDelivered() || send_checks_left_-- == 0) {
     Close();
     return;
   }
@@ -321,16 +340,42 @@
   socket_.set_option(boost::asio::socket_base::linger(reset, 0), ignored);
 }
 
-void ServerConnection::LingeringClose() {
-  lingering_ = true;
+void ServerConnection::BeginDelivery() {
+  state_ = State::kDelivering;
   observer_.reset();
-  timer_.Set(kLingerTimeout, shared_from_this(), &ServerConnection::OnTimer);
+  buffer_.clear();
+  acknowledged_bytes_ = 0;
+  checks_without_progress_ = 0;
+  ShutDownWhenWritten();
+  CheckDelivery();
+  ReadMore();
+}
+
+void ServerConnection::ShutDownWhenWritten() {
   if (writes_.pending_bytes() == 0) {
     boost::system::error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   }
-  buffer_.clear();
-  ReadMore();
+}
+
+void ServerConnection::CheckDelivery() {
+  const uint64_t acknowledged =
+      writes_.written_bytes() -
+      std::min<uint64_t>(writes_.written_bytes(), UnacknowledgedBytes());
+  if (acknowledged != acknowledged_bytes_) {
+    acknowledged_bytes_ = acknowledged;
+    checks_without_progress_ = 0;
+  }
+  const bool delivered = IsDelivered();
+  const absl::Duration limit = delivered ? kLingerTimeout : kClientAckTimeout;
+  if ((delivered && input_ended_) ||
+      kDeliveryCheckInterval * checks_without_progress_ >= limit) {
+    Close();
+    return;
+  }
+  ++checks_without_progress_;
+  timer_.Set(kDeliveryCheckInterval, shared_from_this(),
+             &ServerConnection::CheckDelivery);
 }
 
 void ServerConnection::OnWritten(bool ok) {
@@ -341,9 +386,8 @@
     OnReadError({});
     return;
   }
-  if (lingering_ && writes_.pending_bytes() == 0) {
-    boost::system::error_code ignored;
-    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (state_ == State::kDelivering) {
+    ShutDownWhenWritten();
     return;
   }
   if (state_ == State::kResponding) {
@@ -359,7 +403,15 @@
     return;
   }
   if (state_ == State::kIdle) {
+    CloseOrDeliver();
+  }
+}
+
+void ServerConnection::CloseOrDeliver() {
+  if (IsDelivered()) {
     Close();
+  } else {
+    BeginDelivery();
   }
 }
 
@@ -446,11 +498,21 @@
                                            connections_.end());
   for (ServerConnection* connection : all) {
     if (connection->state_ == ServerConnection::State::kIdle) {
-      connection->Close();
+      connection->CloseOrDeliver();
     }
   }
 }
 
+size_t HttpServer::CountUndelivered() const {
+  return static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](ServerConnection* connection) {
+        return connection->state_ == ServerConnection::State::kResponding ||
+               (connection->state_ != ServerConnection::State::kClosed &&
+                !connection->IsDelivered());
+      }));
+}
+
 void HttpServer::CloseAll() {
   const std::vector<ServerConnection*> all(connections_.begin(),
                                            connections_.end());
--- a/packages/net/src/socket.cc
+++ b/packages/net/src/socket.cc
@@ -76,8 +76,15 @@
   for (const std::string& bytes : writing_) {
     buffers.emplace_back(bytes.data(), bytes.size());
   }
+  counted_bytes_ = 0;
+  const auto count_progress = [this](const boost::system::error_code& error,
+                                     size_t transferred) {
+    written_bytes_ += transferred - counted_bytes_;
+    counted_bytes_ = transferred;
+    return boost::asio::transfer_all()(error, transferred);
+  };
   boost::asio::async_write(
-      socket_, buffers,
+      socket_, buffers, count_progress,
       [this, keep](const boost::system::error_code& error, size_t) {
         for (const std::string& bytes : writing_) {
           pending_bytes_ -= bytes.size();
--- a/tests/net/raw_client.cc
+++ b/tests/net/raw_client.cc
@@ -17,13 +17,17 @@
 
 }  // namespace
 
-RawClient::RawClient(const std::string& address) {
+RawClient::RawClient(const std::string& address, int receive_buffer) {
   const size_t colon = address.find(':');
   int port = 0;
   if (!absl::SimpleAtoi(address.substr(colon + 1), &port)) {
     std::abort();
   }
   socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (receive_buffer > 0) {
+    ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+  }
   sockaddr_in to{};
   to.sin_family = AF_INET;
   to.sin_port = htons(static_cast<uint16_t>(port));
@@ -44,6 +48,10 @@
   socket_ = -1;
 }
 
+void RawClient::CloseSending() {
+  ::shutdown(socket_, SHUT_WR);
+}
+
 void RawClient::SetReadLimit(absl::Duration limit) {
   const timeval time = absl::ToTimeval(limit);
   ::setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof(time));
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -10,8 +10,9 @@
 // A blocking connection that writes and reads raw bytes.
 class RawClient {
  public:
-  // `address` is IP:PORT.
-  explicit RawClient(const std::string& address);
+  // `address` is IP:PORT. With a receive buffer of that size in bytes, or the
+  // system's default.
+  explicit RawClient(const std::string& address, int receive_buffer = 0);
   ~RawClient();
   RawClient(const RawClient&) = delete;
   RawClient& operator=(const RawClient&) = delete;
@@ -27,13 +28,15 @@
   std::string ReadToEnd();
   // Reads one response with Content-Length or chunked coding.
   std::string ReadAnswer();
+  // Reads once; false at the end of the connection.
+  bool ReadSome();
+  // Sends no more, as a program that half-closes.
+  void CloseSending();
   void Close();
   // The last read found that the peer had reset the connection.
   bool was_reset() const { return was_reset_; }
 
  private:
-  bool ReadSome();
-
   int socket_ = -1;
   std::string buffer_;
   bool was_reset_ = false;
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -6,7 +6,9 @@
 #include <memory>
 #include <thread>
 
+#include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 #include "http/fake_server.h"
 #include "net/raw_client.h"
 
@@ -345,5 +347,140 @@
   CHECK_THAT(response, Catch::EndsWith("/a"));
 }
 
+// More than the sockets of a connection hold.
+constexpr size_t kHugeBody = size_t{16} << 20;
+
+void RespondHuge(const std::shared_ptr<ServerConnection>& client) {
+  ResponseHead head;
+  head.status = 200;
+  head.reason = "OK";
+  client->Respond(std::move(head), std::string(kHugeBody, 'x'));
+}
+
+// Runs `then` on the server's thread and waits for its end.
+void OnLoop(Running& running, const std::function<void()>& then) {
+  absl::Notification done;
+  boost::asio::post(running.loop(), [&] {
+    then();
+    done.Notify();
+  });
+  done.WaitForNotification();
+}
+
+// A stopping instance closed connections whose last response was still on its
+// way: it counted them as idle.
+TEST_CASE("closing idle connections cuts no response that is being delivered") {
+  for (const bool closes : {true, false}) {
+    CAPTURE(closes);
+    absl::Notification answered;
+    Running running([&](const std::shared_ptr<ServerConnection>& client) {
+      RespondHuge(client);
+      answered.Notify();
+    });
+    RawClient client(running.address());
+    client.Send(absl::StrCat("GET /a HTTP/1.1\r\nHost: x\r\n",
+                             closes ? "Connection: close\r\n" : "", "\r\n"));
+    answered.WaitForNotification();
+    OnLoop(running, [&] {
+      running.server().CloseIdle();
+      CHECK(running.server().CountUndelivered() == 1);
+    });
+    CHECK(client.ReadToEnd().size() > kHugeBody);
+    CHECK_FALSE(client.was_reset());
+  }
+}
+
+// The time to wait for the client ran from the response's end, not from the
+// client's last progress.
+TEST_CASE("a client that pauses gets the end of a response that closes") {
+  Running running(RespondHuge);
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  absl::SleepFor(absl::Seconds(2));
+  CHECK(client.ReadToEnd().size() > kHugeBody);
+  CHECK_FALSE(client.was_reset());
+}
+
+TEST_CASE("a client that pauses gets the end of a response on a kept one") {
+  ServerLimits limits;
+  limits.idle_timeout = absl::Seconds(1);
+  Running running(RespondHuge, limits);
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  for (int i = 0; i < 3; ++i) {
+    absl::SleepFor(absl::Milliseconds(700));
+    client.ReadSome();
+  }
+  CHECK(client.ReadToEnd().size() > kHugeBody);
+  CHECK_FALSE(client.was_reset());
+}
+
+TEST_CASE("input after the last request doesn't cut its response") {
+  Running running(RespondHuge);
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" +
+              std::string(100000, 'y'));
+  absl::SleepFor(absl::Milliseconds(300));
+  OnLoop(running, [&] { running.server().CloseIdle(); });
+  client.Send(std::string(100000, 'y'));
+  CHECK(client.ReadToEnd().size() > kHugeBody);
+}
+
+TEST_CASE("a client that has closed its side still gets the last response") {
+  absl::Notification answered;
+  Running running([&](const std::shared_ptr<ServerConnection>& client) {
+    RespondHuge(client);
+    answered.Notify();
+  });
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  answered.WaitForNotification();
+  client.CloseSending();
+  CHECK(client.ReadToEnd().size() > kHugeBody);
+  CHECK_FALSE(client.was_reset());
+}
+
+TEST_CASE("a client that never reads its last response is given up") {
+  ServerLimits limits;
+  limits.idle_timeout = absl::Milliseconds(100);
+  for (const char* connection : {"Connection: close\r\n", ""}) {
+    CAPTURE(connection);
+    Running running(RespondHuge, limits);
+    RawClient client(running.address());
+    client.Send(
+        absl::StrCat("GET /a HTTP/1.1\r\nHost: x\r\n", connection, "\r\n"));
+    size_t left = 1;
+    while (left > 0) {
+      absl::SleepFor(absl::Milliseconds(20));
+      OnLoop(running, [&] { left = running.server().connections(); });
+    }
+    CHECK(client.ReadToEnd().size() < kHugeBody);
+  }
+}
+
+TEST_CASE("a response is undelivered until its bytes have gone") {
+  std::shared_ptr<ServerConnection> open;
+  absl::Notification handled;
+  Running running([&](std::shared_ptr<ServerConnection> client) {
+    open = std::move(client);
+    handled.Notify();
+  });
+  RawClient client(running.address());
+  client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  handled.WaitForNotification();
+  OnLoop(running, [&] {
+    CHECK(running.server().CountUndelivered() == 1);
+    RespondHuge(open);
+    open.reset();
+    CHECK(running.server().CountUndelivered() == 1);
+    CHECK(running.server().busy() == 0);
+  });
+  CHECK(client.ReadAnswer().size() > kHugeBody);
+  size_t undelivered = 1;
+  while (undelivered > 0) {
+    OnLoop(running, [&] { undelivered = running.server().CountUndelivered(); });
+  }
+}
+
 }  // namespace
 }  // namespace umbertrail::net
