Front: wait for addresses that a stopping predecessor still holds

An instance that is started while its predecessor on the same address runs or is in its grace period ended at once, "Address already in use".

Change: an address in use is tried again every 100 ms, for the grace period and 2 s more; each is logged once (address_in_use). Then, or at once for any other error, the process ends with the address and the reason, the peer port too ("can't bind the peer port" said neither). SIGTERM ends the wait.

--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "umbertrail/front/peer_link.h"
@@ -22,15 +23,26 @@
         int log_fd,
         dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted);
 
-  // Serves until a graceful shutdown ends. Fails when an address can't be
-  // bound.
+  // Serves until a graceful shutdown ends. Waits for addresses that are in use,
+  // as a predecessor may still be stopping; fails when one can't be bound, or
+  // stays in use for longer than such a stop takes.
   Result<Done> Run();
   // Begins a graceful shutdown, as SIGTERM does; a second call ends it at once.
   // Thread-safe.
   void RequestStop();
 
  private:
-  std::optional<std::string> Listen();
+  // An address that couldn't be bound.
+  struct BindFault {
+    std::string address;
+    boost::system::error_code error;
+  };
+
+  // Binds the addresses that are not bound yet; returns the first failure.
+  std::optional<BindFault> BindAddresses();
+  // Starts to serve once all addresses are bound.
+  void BindAndServe();
+  void Serve();
   void OnRequest(std::shared_ptr<net::ServerConnection> client);
   // Serves requests that other instances pass on.
   void OnControl(std::shared_ptr<net::ServerConnection> client);
@@ -58,8 +70,16 @@
   std::shared_ptr<StoreReader> store_;
   std::shared_ptr<PeerLink> peers_;
   boost::asio::signal_set signals_;
+  boost::asio::steady_timer bind_timer_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer settings_timer_;
+  absl::Time start_began_;
+  // Addresses found in use so far.
+  std::set<std::string> awaited_addresses_;
+  bool peers_started_ = false;
+  bool serving_ = false;
+  // Why the instance can't serve.
+  std::optional<std::string> start_error_;
   bool stopping_ = false;
   bool was_ready_ = false;
   absl::Time stop_began_;
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -29,8 +29,8 @@
   // `on_peer_ahead` runs when a peer has read a newer revision of the store.
   PeerLink(State& state, std::function<void()> on_peer_ahead);
 
-  // False when the port can't be bound.
-  bool Start();
+  // Returns the error if the port can't be bound; it may be tried again.
+  boost::system::error_code Start();
   void Stop();
   // Schedules one load report that batches the changes made until it is sent.
   void ScheduleFlush();
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/string_view.h"
 #include "platform/request_codec.h"
@@ -25,6 +26,10 @@
 // Part of the grace period left for responses in the socket buffers.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(500);
 constexpr absl::Duration kStopCheckInterval = absl::Milliseconds(50);
+// How often an address that is in use is tried again, and the time that a
+// predecessor may take beyond its grace period.
+constexpr absl::Duration kBindInterval = absl::Milliseconds(100);
+constexpr absl::Duration kPredecessorMargin = absl::Seconds(2);
 constexpr int kNotFound = 404;
 // Headers that another instance adds to a request.
 constexpr size_t kMaxAddedHeaderBytes = 1024;
@@ -78,6 +83,7 @@
           [this](auto client) { OnMetrics(std::move(client)); },
           [](int, const char*) {}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      bind_timer_(loop_),
       stop_timer_(loop_),
       settings_timer_(loop_) {
   state_.mode = mode;
@@ -103,46 +109,84 @@
   state_.board.SetOnChange([this] { peers_->ScheduleFlush(); });
 }
 
-std::optional<std::string> Front::Listen() {
+std::optional<Front::BindFault> Front::BindAddresses() {
   const std::pair<net::HttpServer*, const std::string*> listeners[] = {
       {&callers_, &state_.settings.callers_address},
       {&readiness_, &state_.settings.readiness_address},
       {&control_, &state_.settings.control_address},
       {&metrics_, &state_.settings.metrics_address}};
   for (const auto& [server, address] : listeners) {
-    if (address->empty()) {
+    if (address->empty() || server->listening()) {
       continue;
     }
     const auto endpoint = net::ParseEndpoint(*address);
-    if (!endpoint) {
-      return *address + ": not a valid address";
+    const auto error =
+        endpoint ? server->Listen(*endpoint)
+                 : make_error_code(boost::system::errc::invalid_argument);
+    if (error) {
+      return BindFault{*address, error};
     }
-    if (const auto error = server->Listen(*endpoint)) {
-      return *address + ": " + *error;
+  }
+  if (!peers_started_) {
+    if (const auto error = peers_->Start()) {
+      return BindFault{
+          absl::StrCat(state_.settings.ip, ":", state_.settings.peer_port),
+          error};
     }
+    peers_started_ = true;
   }
   return std::nullopt;
 }
 
+void Front::BindAndServe() {
+  const auto fault = BindAddresses();
+  if (!fault) {
+    Serve();
+    return;
+  }
+  const absl::Duration waited = BootNow() - start_began_;
+  if (fault->error != boost::asio::error::address_in_use ||
+      waited >= state_.settings.grace + kPredecessorMargin) {
+    start_error_ = absl::StrCat(fault->address, ": ", fault->error.message());
+    loop_.stop();
+    return;
+  }
+  if (awaited_addresses_.insert(fault->address).second) {
+    state_.log.Write(EventLog::Level::kImportant, "address_in_use",
+                     {{"address", absl::string_view(fault->address)},
+                      {"waited_ms", absl::ToInt64Milliseconds(waited)}},
+                     BootNow());
+  }
+  bind_timer_.expires_after(net::ToChrono(kBindInterval));
+  bind_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      BindAndServe();
+    }
+  });
+}
+
 Result<Done> Front::Run() {
   std::signal(SIGPIPE, SIG_IGN);
-  if (const auto error = Listen()) {
-    return Error{ErrorCode::kUnavailable, *error};
-  }
-  if (!peers_->Start()) {
-    return Error{ErrorCode::kUnavailable, "can't bind the peer port"};
+  start_began_ = BootNow();
+  AwaitSignal();
+  BindAndServe();
+  loop_.run();
+  if (start_error_) {
+    return Error{ErrorCode::kUnavailable, *start_error_};
   }
+  return Done{};
+}
+
+void Front::Serve() {
+  serving_ = true;
   state_.log.Write(
       EventLog::Level::kImportant, "start",
       {{"callers", absl::string_view(state_.settings.callers_address)},
        {"data_centre", state_.settings.data_centre.text()},
        {"first_start", state_.settings.first_start}},
       BootNow());
-  AwaitSignal();
   WatchSettingsFile();
   store_->Start();
-  loop_.run();
-  return Done{};
 }
 
 void Front::OnRequest(std::shared_ptr<net::ServerConnection> client) {
@@ -233,6 +277,8 @@
 void Front::OnSignal(int signal) {
   if (signal == SIGHUP) {
     ReloadSettings();
+  } else if (!serving_) {
+    loop_.stop();
   } else if (!stopping_) {
     BeginStop();
   } else {
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -56,7 +56,7 @@
   }
 }
 
-bool PeerLink::Start() {
+boost::system::error_code PeerLink::Start() {
   boost::system::error_code error;
   const auto address =
       boost::asio::ip::make_address_v4(state_.settings.ip, error);
@@ -72,11 +72,13 @@
     socket_.non_blocking(true, error);
   }
   if (error) {
-    return false;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    return error;
   }
   Receive();
   Heartbeat();
-  return true;
+  return {};
 }
 
 void PeerLink::Stop() {
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -150,8 +150,9 @@
 
   HttpServer(Loop& loop, Handler on_request, FaultHandler on_fault);
 
-  // Returns an error message if the address can't be bound.
-  std::optional<std::string> Listen(const Endpoint& endpoint);
+  // Returns the error if the address can't be bound; it may be tried again.
+  boost::system::error_code Listen(const Endpoint& endpoint);
+  bool listening() const { return acceptor_.is_open(); }
   // Accepts the established connections, then stops listening.
   void StopListening();
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -436,7 +436,7 @@
       acceptor_(loop),
       accept_retry_timer_(loop) {}
 
-std::optional<std::string> HttpServer::Listen(const Endpoint& endpoint) {
+boost::system::error_code HttpServer::Listen(const Endpoint& endpoint) {
   boost::system::error_code error;
   acceptor_.open(endpoint.protocol(), error);
   if (!error) {
@@ -447,10 +447,12 @@
     acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
   }
   if (error) {
-    return error.message();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    return error;
   }
   Accept();
-  return std::nullopt;
+  return {};
 }
 
 void HttpServer::StopListening() {
--- a/tests/front/peer_link_test.cc
+++ b/tests/front/peer_link_test.cc
@@ -24,7 +24,7 @@
                                          [this] { ++peer_ahead_calls_; })),
         peer_(loop_,
               Udp::endpoint(boost::asio::ip::make_address_v4("127.0.0.2"), 0)) {
-    REQUIRE(link_->Start());
+    REQUIRE_FALSE(link_->Start());
   }
   ~LinkFixture() {
     link_->Stop();
--- a/tests/front/running_front.cc
+++ b/tests/front/running_front.cc
@@ -49,7 +49,13 @@
     : settings_(settings),
       log_fd_(open("/dev/null", O_WRONLY)),
       front_(std::make_unique<front::Front>(settings, "", log_fd_)),
-      thread_([this] { static_cast<void>(front_->Run()); }) {}
+      thread_([this] {
+        const auto served = front_->Run();
+        if (!IsOk(served)) {
+          error_ = ErrorOf(served).message;
+        }
+        exited_ = true;
+      }) {}
 
 RunningFront::~RunningFront() {
   if (thread_.joinable()) {
--- a/tests/front/running_front.h
+++ b/tests/front/running_front.h
@@ -1,6 +1,7 @@
 #ifndef UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
 #define UMBERTRAIL_TESTS_FRONT_RUNNING_FRONT_H_
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -33,11 +34,16 @@
   void RequestStop() { front_->RequestStop(); }
   // Blocks until the instance has exited by itself.
   void AwaitExit();
+  bool exited() const { return exited_; }
+  // Why the instance didn't serve; empty if it did. Known after its exit.
+  const std::string& error() const { return error_; }
 
  private:
   adapter::InstanceSettings settings_;
   int log_fd_;
   std::unique_ptr<front::Front> front_;
+  std::string error_;
+  std::atomic<bool> exited_{false};
   std::thread thread_;
 };
 
