Tests: addresses that refuse connections are all different

Seen: front_test hung in one of its runs, the whole test run on 4 jobs (response_end_test.cc, in AwaitReady; the seven runs before didn't).

Cause, traced in the hung process: its instance had ended with '127.0.0.1:41307: Address already in use', and that was the address of its own first listener: two calls of RefusingAddress had returned the same port, as the kernel may choose a port again once it is closed. The listener of the ended instance was still open in the test's process, so the question whether it is ready was never answered.

Change: RefusingAddress gives no port twice in a process; AwaitReady throws when the instance has ended.

Evidence: the new case of http_link_test failed before (1885 different of 2000) and passes now.

--- a/tests/front/running_front.cc
+++ b/tests/front/running_front.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <stdexcept>
+
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -84,6 +86,9 @@
 
 void RunningFront::AwaitReady() const {
   while (!IsReady()) {
+    if (exited_) {
+      throw std::runtime_error(error_);
+    }
     absl::SleepFor(kPollInterval);
   }
 }
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -211,9 +211,15 @@
 }
 
 std::string RefusingAddress() {
+  // The kernel may choose a port again that it chose shortly before.
+  static absl::Mutex mutex(absl::kConstInit);
+  static std::set<int>* const given = new std::set<int>;
+  absl::MutexLock lock(&mutex);
   int port = 0;
-  const int listener = Listen(port);
-  ::close(listener);
+  do {
+    const int listener = Listen(port);
+    ::close(listener);
+  } while (!given->insert(port).second);
   return absl::StrCat("127.0.0.1:", port);
 }
 
--- a/tests/http/fake_server.h
+++ b/tests/http/fake_server.h
@@ -98,7 +98,7 @@
   std::thread acceptor_;
 };
 
-// An address that refuses connections.
+// An address that refuses connections; another one at each call.
 std::string RefusingAddress();
 
 }  // namespace umbertrail::testing
--- a/tests/http/link_test.cc
+++ b/tests/http/link_test.cc
@@ -1,3 +1,5 @@
+#include <set>
+#include <string>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -125,5 +127,15 @@
   CHECK(server.connections() == 1);
 }
 
+// Two listeners of one instance got the same port, and the test hung.
+TEST_CASE("addresses that refuse connections are all different") {
+  constexpr size_t kCalls = 2000;
+  std::set<std::string> addresses;
+  for (size_t i = 0; i < kCalls; ++i) {
+    addresses.insert(testing::RefusingAddress());
+  }
+  CHECK(addresses.size() == kCalls);
+}
+
 }  // namespace
 }  // namespace umbertrail::http
