--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -76,7 +76,6 @@
   absl::Time start_began_;
   // Addresses found in use so far.
   std::set<std::string> awaited_addresses_;
-  bool peers_started_ = false;
   bool serving_ = false;
   // Why the instance can't serve.
   std::optional<std::string> start_error_;
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -31,6 +31,7 @@
 
   // Returns the error if the port can't be bound; it may be tried again.
   boost::system::error_code Start();
+  bool started() const { return socket_.is_open(); }
   void Stop();
   // Schedules one load report that batches the changes made until it is sent.
   void ScheduleFlush();
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -127,13 +127,12 @@
       return BindFault{*address, error};
     }
   }
-  if (!peers_started_) {
+  if (!peers_->started()) {
     if (const auto error = peers_->Start()) {
       return BindFault{
           absl::StrCat(state_.settings.ip, ":", state_.settings.peer_port),
           error};
     }
-    peers_started_ = true;
   }
   return std::nullopt;
 }
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -49,6 +49,16 @@
   std::thread thread_;
 };
 
+// Runs `then` on the server's thread and waits for its end.
+void OnLoop(Running& running, const std::function<void()>& then) {
+  absl::Notification done;
+  boost::asio::post(running.loop(), [&] {
+    then();
+    done.Notify();
+  });
+  done.WaitForNotification();
+}
+
 void Echo(const std::shared_ptr<ServerConnection>& client) {
   ResponseHead head;
   head.status = 200;
@@ -281,15 +291,12 @@
   RawClient client(running.address());
   client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
   begun.WaitForNotification();
-  absl::Notification finished;
-  boost::asio::post(running.loop(), [&] {
+  OnLoop(running, [&] {
     running.server().StartDraining();
     running.server().CloseIdle();
     first->FinishResponse();
     first.reset();
-    finished.Notify();
   });
-  finished.WaitForNotification();
   client.Send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK_THAT(client.ReadToEnd(), Catch::EndsWith("part\r\n0\r\n\r\n"));
   CHECK(handled == 1);
@@ -305,17 +312,14 @@
   client.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
   client.ReadAnswer();
   client.Send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n1");
-  absl::Notification closed;
   // The partial request has been read once a later connection is answered.
   RawClient other(running.address());
   other.Send("GET /c HTTP/1.1\r\nHost: x\r\n\r\n");
   other.ReadAnswer();
-  boost::asio::post(running.loop(), [&] {
+  OnLoop(running, [&] {
     running.server().StartDraining();
     running.server().CloseIdle();
-    closed.Notify();
   });
-  closed.WaitForNotification();
   client.Send("2");
   CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 503"));
   CHECK(handled == 2);
@@ -324,15 +328,12 @@
 TEST_CASE("a connection made before listening ends is served") {
   Running running(Echo);
   std::unique_ptr<RawClient> client;
-  absl::Notification stopped;
-  boost::asio::post(running.loop(), [&] {
+  OnLoop(running, [&] {
     // The server can't accept it before this function returns.
     client = std::make_unique<RawClient>(running.address());
     client->Send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
     running.server().StopListening();
-    stopped.Notify();
   });
-  stopped.WaitForNotification();
   CHECK_THAT(client->ReadAnswer(), Catch::EndsWith("/late"));
   CHECK_FALSE(RawClient(running.address()).connected());
 }
@@ -357,16 +358,6 @@
   client->Respond(std::move(head), std::string(kHugeBody, 'x'));
 }
 
-// Runs `then` on the server's thread and waits for its end.
-void OnLoop(Running& running, const std::function<void()>& then) {
-  absl::Notification done;
-  boost::asio::post(running.loop(), [&] {
-    then();
-    done.Notify();
-  });
-  done.WaitForNotification();
-}
-
 // A stopping instance closed connections whose last response was still on its
 // way: it counted them as idle.
 TEST_CASE("closing idle connections cuts no response that is being delivered") {
