Requests carry urgency, expected output and account to targets and homes

Cause: the configuration's priorities were decoded and used by nothing, the client's estimate of its output was not read, and a load report said neither whose work it describes nor how much of it is left.

`--without` switches placement features off one by one.

--- a/packages/base/include/umbertrail/base/ids.h
+++ b/packages/base/include/umbertrail/base/ids.h
@@ -96,6 +96,9 @@
 using AttemptNumber = Quantity<struct AttemptNumberTag, uint32_t>;
 // Identifies a prompt's content and account, for quarantine.
 using Fingerprint = Quantity<struct FingerprintTag, uint64_t>;
+
+// Hash of a client account's name.
+using AccountHash = Quantity<struct AccountHashTag, uint64_t>;
 // Hash of a prompt prefix up to a block boundary.
 using PrefixHash = Quantity<struct PrefixHashTag, uint64_t>;
 // Length of a prompt or output, or offset in an output, in tokens.
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -32,6 +32,7 @@
 Usage:
   umbertraild --settings=FILE [--check]
   umbertraild front [--node=FILE] [--check] [--placement=MODE]
+                    [--without=LIST]
   umbertraild --help
   umbertraild --version
 
@@ -42,6 +43,9 @@
                    given, the environment names it.
   --placement=MODE How targets are chosen: predicted, or the baselines
                    least-connections and random [default: predicted].
+  --without=LIST   Placement features to switch off, separated by commas:
+                   output-estimates, remaining-work, urgency, fair-shares,
+                   waiting-line, memory-plan, ordered-search [default: ].
   --check          Check the settings and the files that they name, then exit.
   --help           Show this text.
   --version        Show the version.
@@ -153,12 +157,18 @@
 // Serves on the users' platform until a planned stop.
 int RunFront(const std::string& path,
              bool only_check,
-             const std::string& placement) {
+             const std::string& placement,
+             const std::string& without) {
   const auto mode = umbertrail::dispatch::ParsePlacementMode(placement);
   if (!mode) {
     std::fprintf(stderr, "--placement=%s: no such mode\n", placement.c_str());
     return kExitSettings;
   }
+  const auto features = umbertrail::dispatch::FeaturesWithout(without);
+  if (!features) {
+    std::fprintf(stderr, "--without=%s: no such feature\n", without.c_str());
+    return kExitSettings;
+  }
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
@@ -179,7 +189,7 @@
     return 0;
   }
   umbertrail::front::Front front(std::move(read.settings), path, STDOUT_FILENO,
-                                 *mode);
+                                 *mode, *features);
   const auto served = front.Run();
   if (!umbertrail::IsOk(served)) {
     std::fprintf(stderr, "%s\n", umbertrail::ErrorOf(served).message.c_str());
@@ -197,7 +207,8 @@
     const docopt::value& node = args.at("--node");
     return RunFront(
         node.isString() ? node.asString() : umbertrail::adapter::SettingsPath(),
-        args.at("--check").asBool(), args.at("--placement").asString());
+        args.at("--check").asBool(), args.at("--placement").asString(),
+        args.at("--without").isString() ? args.at("--without").asString() : "");
   }
   const std::string path = args.at("--settings").asString();
   auto loaded = umbertrail::daemon::LoadSettings(path);
--- a/packages/dispatch/include/umbertrail/dispatch/config.h
+++ b/packages/dispatch/include/umbertrail/dispatch/config.h
@@ -49,7 +49,7 @@
   absl::Duration aim;
   // Objective for the longest pause between two events.
   absl::Duration gap_aim;
-  // 0 is the most urgent.
+  // 0 is the most urgent; an account's own priority precedes it.
   int priority = 0;
   // Never empty in a valid configuration.
   std::vector<WeightedService> services;
@@ -91,7 +91,8 @@
 
 struct Account {
   ClientAccountId id;
-  int priority = 0;
+  // As in Route; none if the configuration states none for the account.
+  std::optional<int> priority;
 };
 
 // One version of the operator's configuration.
--- /dev/null
+++ b/packages/dispatch/include/umbertrail/dispatch/features.h
@@ -0,0 +1,37 @@
+#ifndef UMBERTRAIL_DISPATCH_FEATURES_H_
+#define UMBERTRAIL_DISPATCH_FEATURES_H_
+
+#include <optional>
+
+#include "absl/strings/string_view.h"
+
+// Placement features that can be switched off one by one, to measure what each
+// is worth.
+
+namespace umbertrail::dispatch {
+
+struct Features {
+  // Expected output by OutputEstimator; else the engine's configured mean.
+  bool output_estimates = true;
+  // Slots and passes by the remaining work of each request.
+  bool remaining_work = true;
+  // Urgency is sent to targets and orders requests.
+  bool urgency = true;
+  // Client accounts share contended capacity.
+  bool fair_shares = true;
+  // Requests may wait at a home for capacity.
+  bool waiting_line = true;
+  // Memory of several targets is planned as a whole.
+  bool memory_plan = true;
+  // Shards are searched in the order of their reported capacity.
+  bool ordered_search = true;
+};
+
+// All features but those in `without`, separated by commas: output-estimates,
+// remaining-work, urgency, fair-shares, waiting-line, memory-plan and
+// ordered-search. Nothing if a name is unknown.
+std::optional<Features> FeaturesWithout(absl::string_view without);
+
+}  // namespace umbertrail::dispatch
+
+#endif  // UMBERTRAIL_DISPATCH_FEATURES_H_
--- a/packages/dispatch/include/umbertrail/dispatch/load_board.h
+++ b/packages/dispatch/include/umbertrail/dispatch/load_board.h
@@ -36,6 +36,14 @@
   absl::Duration max_event_gap = absl::InfiniteDuration();
   // Value of serving it on time; see RequestValue.
   double value = 1;
+  // 0 is the most urgent.
+  int urgency = 0;
+  // Expected events of the response stream; zero if unknown.
+  double expected_events = 0;
+  // When the first event came; infinite past while there is none.
+  absl::Time first_event_at = absl::InfinitePast();
+  // Identifies the client account; zero if there is none.
+  AccountHash account;
 };
 
 // Identifies a work item of this instance.
@@ -53,8 +61,9 @@
   }
 
   WorkId Begin(const TargetId& target, const WorkItem& item);
-  // Marks the prefill as finished. Returns false if it was already.
-  bool MarkPrefilled(WorkId id);
+  // Marks the prefill as finished by the first event at `now`. Returns false if
+  // it was already.
+  bool MarkPrefilled(WorkId id, absl::Time now);
   void End(WorkId id);
 
   // Replaces the load reported by `peer` at `target`. Drops the peer's
--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -40,6 +40,12 @@
   absl::Duration elapsed;
   // Time until the caller's deadline.
   absl::Duration time_remaining;
+  // 0 is the most urgent.
+  int urgency = 0;
+  // Expected events of the response stream; zero if unknown.
+  double expected_events = 0;
+  // Identifies the client account; zero if there is none.
+  AccountHash account;
 };
 
 // State of one target that can serve the request.
--- a/packages/dispatch/src/load_board.cc
+++ b/packages/dispatch/src/load_board.cc
@@ -19,12 +19,13 @@
   return id;
 }
 
-bool LoadBoard::MarkPrefilled(WorkId id) {
+bool LoadBoard::MarkPrefilled(WorkId id, absl::Time now) {
   const auto found = own_.find(id);
   if (found == own_.end() || !found->second.item.prefilling) {
     return false;
   }
   found->second.item.prefilling = false;
+  found->second.item.first_event_at = now;
   NoteChange(found->second.target);
   return true;
 }
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -322,6 +322,9 @@
   item.sent_at = now;
   item.max_event_gap = request.max_event_gap;
   item.value = RequestValue(request.prompt);
+  item.urgency = request.urgency;
+  item.expected_events = request.expected_events;
+  item.account = request.account;
   const auto parts = static_cast<int64_t>(decision.helpers.size()) + 1;
   item.prompt = Tokens(request.prompt.value() / parts);
   if (engine != nullptr) {
--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -21,7 +21,8 @@
   Front(adapter::InstanceSettings settings,
         std::string settings_path,
         int log_fd,
-        dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted);
+        dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted,
+        const dispatch::Features& features = {});
 
   // Serves until a graceful shutdown ends. Waits for addresses that are in use,
   // as a predecessor may still be stopping; fails when one can't be bound, or
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -149,6 +149,8 @@
   std::shared_ptr<const dispatch::FleetConfig> config_;
   const dispatch::Route* route_ = nullptr;
   ClientAccountId account_;
+  // 0 is the most urgent.
+  int urgency_ = 0;
   const dispatch::Service* service_ = nullptr;
   ServiceId service_id_;
   dispatch::RequestContents contents_;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -16,6 +16,7 @@
 #include "umbertrail/dispatch/budgets.h"
 #include "umbertrail/dispatch/crash_detector.h"
 #include "umbertrail/dispatch/crash_evidence.h"
+#include "umbertrail/dispatch/features.h"
 #include "umbertrail/dispatch/fleet_size.h"
 #include "umbertrail/dispatch/fleet_view.h"
 #include "umbertrail/dispatch/freshness.h"
@@ -147,6 +148,7 @@
 
   net::Loop& loop;
   dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted;
+  dispatch::Features features;
   adapter::InstanceSettings settings;
   EventLog log;
   Metrics metrics;
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -57,7 +57,8 @@
 Front::Front(adapter::InstanceSettings settings,
              std::string settings_path,
              int log_fd,
-             dispatch::PlacementMode mode)
+             dispatch::PlacementMode mode,
+             const dispatch::Features& features)
     : loop_(1),
       state_(loop_, std::move(settings), log_fd),
       settings_path_(std::move(settings_path)),
@@ -87,6 +88,7 @@
       stop_timer_(loop_),
       settings_timer_(loop_) {
   state_.mode = mode;
+  state_.features = features;
   settings_text_ = ReadFile(settings_path_);
   store_ = std::make_shared<StoreReader>(state_, [this] { OnViewChange(); });
   peers_ =
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -12,12 +12,21 @@
 constexpr double kMillicoresPerCore = 1000;
 // No instance sends more buckets.
 constexpr uint32_t kMaxBuckets = 65536;
+// No response has more events.
+constexpr double kMaxEvents = 1e6;
 
 uint32_t ToMillis(absl::Duration duration) {
   return static_cast<uint32_t>(
       std::clamp<int64_t>(absl::ToInt64Milliseconds(duration), 0, UINT32_MAX));
 }
 
+// An unknown number of events if the stated one is no plausible number.
+double ToEvents(float events) {
+  return std::isfinite(events) && events > 0
+             ? std::min<double>(events, kMaxEvents)
+             : 0;
+}
+
 template <typename Id>
 std::vector<std::string> ToStrings(const std::vector<Id>& ids) {
   std::vector<std::string> texts;
@@ -71,6 +80,13 @@
   work.weight = static_cast<float>(item.value);
   work.prompt = static_cast<uint32_t>(
       std::clamp<int64_t>(item.prompt.value(), 0, UINT32_MAX));
+  work.urgency = static_cast<uint8_t>(item.urgency);
+  work.expected_events = static_cast<float>(item.expected_events);
+  if (item.first_event_at != absl::InfinitePast()) {
+    work.first_event_ms_ago_plus_1 =
+        ToMillis(now - item.first_event_at + absl::Milliseconds(1));
+  }
+  work.account = item.account.value();
   return work;
 }
 
@@ -88,6 +104,13 @@
                            : absl::Milliseconds(work.max_gap_ms);
   item.value = work.weight;
   item.prompt = Tokens(work.prompt);
+  item.urgency = work.urgency;
+  item.expected_events = ToEvents(work.expected_events);
+  if (work.first_event_ms_ago_plus_1 > 0) {
+    item.first_event_at =
+        now - absl::Milliseconds(work.first_event_ms_ago_plus_1 - 1);
+  }
+  item.account = AccountHash(work.account);
   return item;
 }
 
@@ -234,6 +257,9 @@
   wire.remaining_ms = ToMillis(request.profile.time_remaining);
   wire.excluded = ToStrings(request.excluded_targets);
   wire.excluded_helpers = ToStrings(request.excluded_helpers);
+  wire.urgency = static_cast<uint8_t>(request.profile.urgency);
+  wire.expected_events = static_cast<float>(request.profile.expected_events);
+  wire.account = request.profile.account.value();
   return wire;
 }
 
@@ -257,6 +283,9 @@
   request.profile.time_remaining = absl::Milliseconds(wire.remaining_ms);
   request.excluded_targets = ToTargetIds(wire.excluded);
   request.excluded_helpers = ToTargetIds(wire.excluded_helpers);
+  request.profile.urgency = wire.urgency;
+  request.profile.expected_events = ToEvents(wire.expected_events);
+  request.profile.account = AccountHash(wire.account);
   return request;
 }
 
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -28,13 +28,25 @@
   uint32_t expected_ms = 0;
   // Length of the prompt, or of a helper's part, in tokens.
   uint32_t prompt = 0;
+  // 0 is the most urgent.
+  uint8_t urgency = 0;
+  // Expected events of the response; 0: unknown.
+  float expected_events = 0;
+  // Time since the first event, plus one; 0: none yet.
+  uint32_t first_event_ms_ago_plus_1 = 0;
+  // Hash of the client account; 0: none.
+  uint64_t account = 0;
   MSGPACK_DEFINE_ARRAY(age_ms,
                        prefill_ms,
                        flags,
                        max_gap_ms,
                        weight,
                        expected_ms,
-                       prompt);
+                       prompt,
+                       urgency,
+                       expected_events,
+                       first_event_ms_ago_plus_1,
+                       account);
 };
 
 // The sender's work at a target.
@@ -97,6 +109,10 @@
   uint32_t remaining_ms = 0;
   std::vector<std::string> excluded;
   std::vector<std::string> excluded_helpers;
+  uint8_t urgency = 0;
+  float expected_events = 0;
+  // Hash of the client account; 0: none.
+  uint64_t account = 0;
   MSGPACK_DEFINE_ARRAY(id,
                        service,
                        data_centre,
@@ -109,7 +125,10 @@
                        waited_ms,
                        remaining_ms,
                        excluded,
-                       excluded_helpers);
+                       excluded_helpers,
+                       urgency,
+                       expected_events,
+                       account);
 };
 
 // A home's reply to a request. The slot at an offered target is reserved for a
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -8,6 +8,7 @@
 #include "umbertrail/base/hash.h"
 #include "umbertrail/dispatch/engine_time.h"
 #include "umbertrail/dispatch/route_table.h"
+#include "umbertrail/dispatch/urgency.h"
 
 namespace umbertrail::front {
 namespace {
@@ -104,6 +105,7 @@
   if (allowed.account != nullptr) {
     account_ = allowed.account->id;
   }
+  urgency_ = dispatch::UrgencyOf(*route_, allowed.account);
   service_id_ = dispatch::ChooseService(*route_, state_.Random());
   const auto service = config_->services.find(service_id_);
   service_ = service == config_->services.end() ? nullptr : &service->second;
@@ -221,6 +223,10 @@
   profile.max_event_gap = route_->gap_aim;
   profile.elapsed = now - waiting_since_;
   profile.time_remaining = deadline_ - waiting_since_;
+  profile.urgency = urgency_;
+  if (!account_.empty()) {
+    profile.account = AccountHash(StableHash(account_.text()));
+  }
   return profile;
 }
 
@@ -381,6 +387,9 @@
   send.target = placed.target;
   send.account = account_;
   send.time_left = deadline_ - now;
+  if (state_.features.urgency) {
+    send.urgency = urgency_;
+  }
   if (response_started_) {
     send.last_event = framer_.last_event_id();
   }
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -214,14 +214,14 @@
   if (work_ids_.empty() || response_mode_ != ResponseMode::kStream) {
     return;
   }
+  const absl::Time now = BootNow();
   bool first = false;
   for (const dispatch::WorkId id : work_ids_) {
-    first = state_.board.MarkPrefilled(id) || first;
+    first = state_.board.MarkPrefilled(id, now) || first;
   }
   if (!first) {
     return;
   }
-  const absl::Time now = BootNow();
   // Helpers have finished their part of the prefill and hold nothing else.
   while (work_ids_.size() > 1) {
     state_.board.End(work_ids_.back());
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -16,6 +16,10 @@
   item.prefilling = true;
   item.max_event_gap = absl::Milliseconds(600);
   item.value = 2.5;
+  item.urgency = 2;
+  item.expected_events = 31.5;
+  item.first_event_at = kNow - absl::Milliseconds(20);
+  item.account = AccountHash(77);
   const dispatch::WorkItem decoded = FromWire(ToWire(item, kNow), kNow);
   CHECK(decoded.sent_at == item.sent_at);
   CHECK(decoded.prefill_time == item.prefill_time);
@@ -24,6 +28,24 @@
   CHECK_FALSE(decoded.is_helper);
   CHECK(decoded.max_event_gap == item.max_event_gap);
   CHECK(decoded.value == Approx(2.5));
+  CHECK(decoded.urgency == 2);
+  CHECK(decoded.expected_events == Approx(31.5));
+  CHECK(decoded.first_event_at == item.first_event_at);
+  CHECK(decoded.account == AccountHash(77));
+}
+
+// Guards against a build that fails to read the messages of an older one, whose
+// arrays end before the fields that were added.
+TEST_CASE("a work item of an older build decodes") {
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, std::make_tuple(70U, 456U, 1U, 600U, 2.5F, 500U, 4960U));
+  const auto work =
+      msgpack::unpack(bytes.data(), bytes.size()).get().as<PeerWork>();
+  const dispatch::WorkItem decoded = FromWire(work, kNow);
+  CHECK(decoded.prompt == Tokens(4960));
+  CHECK(decoded.expected_events == 0);
+  CHECK(decoded.first_event_at == absl::InfinitePast());
+  CHECK(decoded.account == AccountHash(0));
 }
 
 TEST_CASE("the fleet's size survives encoding and decoding") {
