A response with a status outside 100 to 599 is no response

Cause: the parser takes any three digits for a status and nothing looked at the number, so that status 000 of a target reached callers, and its X-Not-Executed was believed. The library under packages/http does the same. Change: such a response is unreadable for every user of ClientConnection, and broken for packages/http; 600 to 999 belong to no class and count as invalid too. The attempt failed and may have run.

--- a/packages/http/include/umbertrail/http/link.h
+++ b/packages/http/include/umbertrail/http/link.h
@@ -43,7 +43,8 @@
   kNone,          // a whole answer was read
   kRefused,       // the address refused the connection
   kNotConnected,  // no connection came about in time, or no TLS session
-  kBroken,        // the connection broke after it stood
+  kBroken,        // the connection broke after it stood, or the answer is not
+                  // valid HTTP, its status outside 100 to 599 for one
   kSilent,        // no byte moved within the progress limit
   kStopped,       // the receiver wanted no more bytes, or Abort was called
   kTooLarge,      // the answer is over its size limit
--- a/packages/http/src/link.cc
+++ b/packages/http/src/link.cc
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+// RFC 9110, 15: a status outside this range is invalid. The library accepts any
+// three digits.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 
 // Timer granularity: a wait that ended this much before the limit timed out.
 constexpr absl::Duration kTimerSlack = absl::Milliseconds(20);
@@ -88,6 +92,7 @@
   absl::Time last_progress;
   bool stopped = false;
   bool too_large = false;
+  bool invalid_status = false;
 };
 
 bool SaysWhereItEnds(const httplib::Response& response) {
@@ -174,6 +179,10 @@
     httplib::Request request = MakeRequest(std::move(call));
     request.response_handler = [&](const httplib::Response& response) {
       reading.last_progress = absl::Now();
+      if (response.status < kMinStatus || response.status > kMaxStatus) {
+        reading.invalid_status = true;
+        return false;
+      }
       reading.answer.status = response.status;
       reading.answer.delimited = SaysWhereItEnds(response);
       return !socket_.aborted();
@@ -204,6 +213,9 @@
     if (reading.too_large) {
       return Fault::kTooLarge;
     }
+    if (reading.invalid_status) {
+      return Fault::kBroken;
+    }
     if (reading.stopped ||
         (error != httplib::Error::Success && socket_.aborted())) {
       return Fault::kStopped;
--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -25,7 +25,7 @@
   kNoAnswer,
   // The connection closed within a response.
   kBrokenOff,
-  // The response is not valid HTTP/1.1.
+  // The response is not valid HTTP/1.1, or its status is outside 100 to 599.
   kUnreadable,
 };
 
--- a/packages/net/src/parser.h
+++ b/packages/net/src/parser.h
@@ -21,6 +21,12 @@
 // chunk's size and extensions, or the trailer. A head has a limit of its own.
 inline constexpr size_t kMaxUnconsumedBytes = 16384;
 
+// RFC 9110, 15: a status outside this range is invalid. 600 to 999 belong to no
+// class either, so no caller could act on them; they are invalid like 000 and
+// 099, and the response is unreadable.
+inline constexpr int kMinStatus = 100;
+inline constexpr int kMaxStatus = 599;
+
 // Parses one message; body bytes go to `on_body` as they arrive.
 template <bool IsRequest>
 class MessageReader : public boost::beast::http::basic_parser<IsRequest> {
@@ -79,7 +85,11 @@
     request_.target.assign(target.data(), target.size());
     request_.version = version;
   }
-  void on_response_impl(int code, Text reason, int, Error&) override {
+  void on_response_impl(int code, Text reason, int, Error& error) override {
+    if (code < kMinStatus || code > kMaxStatus) {
+      error = boost::beast::http::error::bad_status;
+      return;
+    }
     response_.status = code;
     response_.reason.assign(reason.data(), reason.size());
   }
--- a/tests/front/stranded_instance_test.cc
+++ b/tests/front/stranded_instance_test.cc
@@ -251,6 +251,17 @@
              Catch::StartsWith("HTTP/1.1 502"));
 }
 
+// An instance of an older build passes a target's status 000 on.
+TEST_CASE("another instance's response with an invalid status is rejected") {
+  ScriptedPeer peer([](const std::string& request) {
+    return absl::StrCat("HTTP/1.1 000 X\r\n", testing::EchoId(request),
+                        "Content-Length: 3\r\n\r\nodd");
+  });
+  CHECK_THAT(
+      Ask(peer.callers(), testing::PlatformRequest("/once/x", "id1", "k1")),
+      Catch::StartsWith("HTTP/1.1 502"));
+}
+
 TEST_CASE("another instance's sealed success is passed on") {
   ScriptedPeer peer([](const std::string& request) {
     return testing::WholeAnswer(request, "done");
--- a/tests/http/link_test.cc
+++ b/tests/http/link_test.cc
@@ -69,6 +69,23 @@
         }) == Fault::kBroken);
 }
 
+// The library accepts any three digits, so that 000 looked like an answer whose
+// head was never read, and 999 like an answer of its own kind.
+TEST_CASE("an answer with a status outside 100 to 599 is broken") {
+  const std::string status = GENERATE("000", "099", "600", "999");
+  CAPTURE(status);
+  FakeServer server([&](FakeConnection& it) {
+    it.ReadRequest();
+    it.Write("HTTP/1.1 " + status + " X\r\nContent-Length: 3\r\n\r\nabc");
+    it.AwaitClose();
+  });
+  Link link(SettingsFor(server.address()));
+  const Answer answer = link.Send(GetCall(), kMaxBody);
+  CHECK(answer.fault == Fault::kBroken);
+  CHECK(answer.status == 0);
+  CHECK(answer.body.empty());
+}
+
 TEST_CASE("an answer that no length or chunk ends is marked") {
   FakeServer server([](FakeConnection& it) {
     it.ReadRequest();
--- a/tests/net/client_test.cc
+++ b/tests/net/client_test.cc
@@ -176,6 +176,34 @@
   CHECK(garbage->failure == CallFailure::kUnreadable);
 }
 
+// A target answered with status 000, and the instance passed it on as a
+// response, though callers accept no such status.
+TEST_CASE("a status outside 100 to 599 is unreadable") {
+  const std::string status = GENERATE("000", "001", "099", "600", "999");
+  const std::string framing =
+      GENERATE("Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "");
+  CAPTURE(status, framing);
+  const auto response = ResponseOf([&](FakeConnection& connection) {
+    connection.ReadRequest();
+    connection.Write("HTTP/1.1 " + status + " X\r\n" + framing + "\r\n");
+    connection.Write(framing[0] == 'T' ? "3\r\nabc\r\n0\r\n\r\n" : "abc");
+  });
+  CHECK_FALSE(response->ended);
+  CHECK(response->status == 0);
+  CHECK(response->body.empty());
+  CHECK(response->failure == CallFailure::kUnreadable);
+}
+
+TEST_CASE("a status at the ends of the valid range is passed on") {
+  const int status = GENERATE(200, 299, 599);
+  const auto response = ResponseOf([&](FakeConnection& connection) {
+    connection.ReadRequest();
+    connection.Write(testing::HttpAnswer(status, "abc"));
+  });
+  CHECK(response->ended);
+  CHECK(response->status == status);
+}
+
 // Writes `bytes` again and again until the client closes, 64 MB at most.
 void WriteEndlessly(FakeConnection& connection, const std::string& bytes) {
   constexpr size_t kMost = size_t{64} << 20;
