A part of an early response isn't taken for a complete one

Cause: where neither a length nor chunks end a response, a read of 0 was its end unless a write had failed before. A target that answers while the request is being sent, and closes with nothing unread at that moment, sends the end of the stream and a reset only for what comes later: the read returns 0 without any failed write. Change: a read of 0 ends a response only when no write failed, no byte is unsent, and the peer's system has acknowledged the whole request (SIOCOUTQ); otherwise the response is broken off.

--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -23,7 +23,8 @@
   kNotConnected,
   // The connection closed before the first byte of a response.
   kNoAnswer,
-  // The connection closed within a response.
+  // The connection closed within a response, or ended a response without a
+  // length while bytes of the request were on their way.
   kBrokenOff,
   // The response is not valid HTTP/1.1, or its status is outside 100 to 599.
   kUnreadable,
@@ -95,6 +96,7 @@
   void Fail(CallFailure failure);
   void OnWritten(bool ok);
   void EndCall();
+  bool RequestDelivered();
   void UpdateIdleLimit(const ResponseHead& head);
 
   Loop& loop_;
--- a/packages/net/include/umbertrail/net/socket.h
+++ b/packages/net/include/umbertrail/net/socket.h
@@ -29,6 +29,11 @@
 // `peer_timeout`.
 void SetTcpOptions(Tcp::socket& socket, absl::Duration peer_timeout);
 
+// Bytes that the system took for sending and the peer's system has not
+// acknowledged; the peer acknowledges what it received with whatever it sends,
+// the end of its stream included. Zero on systems that don't tell.
+size_t UnacknowledgedBytes(Tcp::socket& socket);
+
 std::chrono::nanoseconds ToChrono(absl::Duration duration);
 
 // Queue of bytes for a socket, written in order, one write at a time.
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -183,8 +183,9 @@
     return;
   }
   if (error) {
-    if (error == boost::asio::error::eof && !write_failed_ && head_delivered_ &&
-        reader_->message.need_eof() && !response_has_no_body_) {
+    if (error == boost::asio::error::eof && head_delivered_ &&
+        reader_->message.need_eof() && !response_has_no_body_ &&
+        RequestDelivered()) {
       boost::beast::error_code end;
       reader_->message.put_eof(end);
       if (!end && reader_->message.is_done()) {
@@ -289,10 +290,25 @@
   }
 }
 
+// Whether all bytes of the request have reached the peer's system. Until then
+// a read of 0 isn't the end of the response:
+// - After a reset, Linux reports ECONNRESET once, to whichever of read and write
+//   asks first (EPIPE if the end of the stream came before the reset). Later
+//   reads get 0 and later writes EPIPE. So a read may return 0 after a write
+//   that failed, and before the failure is known here.
+// - A peer that closes with unread bytes sends a reset at once. One that closes
+//   while it happens to have none sends the end of the stream, and the reset
+//   only for the bytes that arrive later; the read then returns 0 and no error,
+//   as the end of the stream came first. A process that crashes does either.
+// Bytes that came before the reset are read first in both cases on Linux. Other
+// systems may drop them, or report another error; nothing here depends on it.
+bool ClientConnection::RequestDelivered() {
+  return !write_failed_ && writes_.pending_bytes() == 0 &&
+         UnacknowledgedBytes(socket_) == 0;
+}
+
 void ClientConnection::OnWritten(bool ok) {
-  // The peer's last bytes are still to be read. After a reset the read that
-  // follows a failed write finds an ordinary end, as the system reports the
-  // error once.
+  // The peer's last bytes are still to be read.
   write_failed_ = write_failed_ || !ok;
 }
 
--- a/packages/net/src/socket.cc
+++ b/packages/net/src/socket.cc
@@ -1,7 +1,11 @@
 #include "umbertrail/net/socket.h"
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#ifdef __linux__
+#include <linux/sockios.h>
+#endif
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -54,6 +58,18 @@
             static_cast<int>(absl::ToInt64Milliseconds(peer_timeout)));
 }
 
+size_t UnacknowledgedBytes(Tcp::socket& socket) {
+#ifdef SIOCOUTQ
+  int bytes = 0;
+  if (ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0) {
+    return static_cast<size_t>(bytes);
+  }
+#else
+  (void)socket;
+#endif
+  return 0;
+}
+
 std::chrono::nanoseconds ToChrono(absl::Duration duration) {
   return absl::ToChronoNanoseconds(duration);
 }
--- a/tests/http/fake_server.cc
+++ b/tests/http/fake_server.cc
@@ -88,11 +88,20 @@
   static_cast<void>(::recv(socket_, buf.data(), buf.size(), 0));
 }
 
+bool FakeConnection::AwaitUnreadBytes() {
+  char byte = 0;
+  return ::recv(socket_, &byte, 1, MSG_PEEK) > 0;
+}
+
 void FakeConnection::Reset() {
   const linger hard{1, 0};
   ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
 }
 
+void FakeConnection::EndSending() {
+  ::shutdown(socket_, SHUT_WR);
+}
+
 void ServeRequests(
     FakeConnection& connection,
     const std::function<bool(const std::string& request)>& answer) {
@@ -133,8 +142,14 @@
   return "0\r\n\r\n";
 }
 
-FakeServer::FakeServer(Script script) : script_(std::move(script)) {
+FakeServer::FakeServer(Script script, int receive_buffer)
+    : script_(std::move(script)) {
   listener_ = Listen(port_);
+  if (receive_buffer > 0) {
+    // Connections inherit it; set later it wouldn't shrink the window.
+    ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+  }
   ::listen(listener_, kBacklog);
   acceptor_ = std::thread([this] { Accept(); });
 }
--- a/tests/http/fake_server.h
+++ b/tests/http/fake_server.h
@@ -24,10 +24,14 @@
   bool Write(std::string_view bytes);
   // Returns when some bytes have arrived; they are read.
   void AwaitBytes();
+  // As above, and leaves the bytes unread; false when the client closed.
+  bool AwaitUnreadBytes();
   // Returns when the client has closed the connection.
   void AwaitClose();
   // Closes with a reset.
   void Reset();
+  // Sends the end of the stream now; the connection stays open for reading.
+  void EndSending();
 
  private:
   const int socket_;
@@ -64,7 +68,9 @@
  public:
   using Script = std::function<void(FakeConnection&)>;
 
-  explicit FakeServer(Script script);
+  // Connections have a receive buffer of that size in bytes, or the system's
+  // default.
+  explicit FakeServer(Script script, int receive_buffer = 0);
   ~FakeServer();
   FakeServer(const FakeServer&) = delete;
   FakeServer& operator=(const FakeServer&) = delete;
--- a/tests/net/client_test.cc
+++ b/tests/net/client_test.cc
@@ -159,6 +159,90 @@
   CHECK(recorder->failure == CallFailure::kBrokenOff);
 }
 
+// How a server ends an early response, sent while the request is still written.
+enum class EarlyEnd {
+  kReset,
+  // The kernel resets a connection that is closed with unread bytes.
+  kUnreadBytes,
+  // The end of the stream, and then a reset.
+  kEndThenUnreadBytes,
+  // The end of the stream; the connection stays open and the rest unread.
+  kEnd,
+};
+
+struct EarlyResponse {
+  std::string response;
+  EarlyEnd end = EarlyEnd::kReset;
+  size_t upload = 0;
+  // The client has read the head before the connection ends.
+  bool head_is_read = false;
+};
+
+// Larger than what sockets hold, and small enough for the client's socket to
+// take all of it while the server's takes little.
+constexpr size_t kLargeUpload = size_t{32} << 20;
+constexpr size_t kSmallUpload = size_t{256} << 10;
+constexpr int kSmallReceiveBuffer = 4096;
+constexpr absl::Duration kEarlyPause = absl::Milliseconds(40);
+
+std::shared_ptr<Recorder> PlayEarlyResponse(const EarlyResponse& early,
+                                            bool* reusable = nullptr) {
+  FakeServer server(
+      [&](FakeConnection& connection) {
+        connection.AwaitBytes();
+        absl::SleepFor(kEarlyPause);
+        connection.Write(early.response);
+        if (early.head_is_read) {
+          absl::SleepFor(kEarlyPause);
+        }
+        if (early.end == EarlyEnd::kReset) {
+          connection.Reset();
+        } else if (early.end != EarlyEnd::kUnreadBytes) {
+          connection.EndSending();
+        }
+        if (early.end == EarlyEnd::kEnd) {
+          absl::SleepFor(kEarlyPause);
+        }
+      },
+      kSmallReceiveBuffer);
+  Loop loop(1);
+  const auto connection = std::make_shared<ClientConnection>(loop);
+  const auto body = std::make_shared<const std::string>(early.upload, 'x');
+  auto recorder = std::make_shared<Recorder>(loop);
+  connection->Call(*ParseEndpoint(server.address()), kTimeout, kTimeout,
+                   "POST / HTTP/1.1\r\nHost: x\r\n\r\n", body, false, recorder);
+  loop.run();
+  if (reusable != nullptr) {
+    *reusable = connection->Reusable();
+  }
+  connection->Close();
+  loop.restart();
+  loop.poll();
+  return recorder;
+}
+
+// A target answered a long upload at once, sent a part of its response and
+// closed. Its kernel sent the end of the stream, as nothing was unread at that
+// moment, and a reset for the bytes that came later. The client read the end
+// while its request was still being written, and took the part for complete.
+TEST_CASE("a part of an early response isn't a complete one") {
+  EarlyResponse early;
+  early.response = GENERATE(
+      "HTTP/1.1 200 OK\r\n\r\npart",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+  early.end = GENERATE(EarlyEnd::kReset, EarlyEnd::kUnreadBytes,
+                       EarlyEnd::kEndThenUnreadBytes, EarlyEnd::kEnd);
+  early.upload = GENERATE(kSmallUpload, kLargeUpload);
+  early.head_is_read = GENERATE(false, true);
+  CAPTURE(early.response, static_cast<int>(early.end), early.upload,
+          early.head_is_read);
+  const auto response = PlayEarlyResponse(early);
+  CHECK_FALSE(response->ended);
+  CHECK(response->failure == CallFailure::kBrokenOff);
+}
+
 TEST_CASE("truncated, missing and malformed responses are distinguished") {
   const auto broken = ResponseOf([](FakeConnection& connection) {
     connection.ReadRequest();
