A connection is not reused before its request is delivered

Cause: EndCall looked only at bytes that the socket hadn't taken. After an early response whose request was in the socket, or whose write had failed, the connection was kept; the next request on it would have met the reset and counted as one that may have run. Change: the same condition as for the end of a response.

--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -268,8 +268,7 @@
 
 void ClientConnection::EndCall() {
   const bool usable = !extra_bytes_ && reader_->message.keep_alive() &&
-                      !reader_->message.need_eof() &&
-                      writes_.pending_bytes() == 0 &&
+                      !reader_->message.need_eof() && RequestDelivered() &&
                       idle_limit_ > absl::ZeroDuration();
   auto listener = listener_.lock();
   listener_.reset();
@@ -291,7 +290,8 @@
 }
 
 // Whether all bytes of the request have reached the peer's system. Until then
-// a read of 0 isn't the end of the response:
+// a read of 0 isn't the end of the response, and the connection can't take
+// another request:
 // - After a reset, Linux reports ECONNRESET once, to whichever of read and write
 //   asks first (EPIPE if the end of the stream came before the reset). Later
 //   reads get 0 and later writes EPIPE. So a read may return 0 after a write
--- a/tests/net/client_test.cc
+++ b/tests/net/client_test.cc
@@ -243,6 +243,29 @@
   CHECK(response->failure == CallFailure::kBrokenOff);
 }
 
+// An early response that is whole by its framing is delivered: it may refuse
+// the request and state that it hasn't run. Its connection was kept for another
+// request, although the server hadn't got the rest of this one.
+TEST_CASE("an early whole response is delivered, its connection not reused") {
+  EarlyResponse early;
+  early.response = GENERATE(
+      "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy",
+      "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n"
+      "0\r\n\r\n");
+  early.end =
+      GENERATE(EarlyEnd::kReset, EarlyEnd::kUnreadBytes, EarlyEnd::kEnd);
+  early.upload = GENERATE(kSmallUpload, kLargeUpload);
+  early.head_is_read = GENERATE(false, true);
+  CAPTURE(early.response, static_cast<int>(early.end), early.upload,
+          early.head_is_read);
+  bool reusable = true;
+  const auto response = PlayEarlyResponse(early, &reusable);
+  CHECK(response->ended);
+  CHECK(response->status == 503);
+  CHECK(response->body == "busy");
+  CHECK_FALSE(reusable);
+}
+
 TEST_CASE("truncated, missing and malformed responses are distinguished") {
   const auto broken = ResponseOf([](FakeConnection& connection) {
     connection.ReadRequest();
