A head that says not executed holds without its body

Cause: where the body of an early 503 with X-Not-Executed, or of a 421, was cut by the reset that the unread upload causes, the attempt counted as one that may have run, and the caller got 502. Change: the head's statement decides, however its body ends; it is no evidence of a crash.

--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -57,6 +57,8 @@
   bool SendThroughPeer();
   void OnPeerHead(const net::ResponseHead& head);
   void OnPeerFailure(bool sent);
+  // The target stated in its response's head that the request has not run.
+  void OnNotExecuted();
   // Handles a response that isn't known to be a target's to this request:
   // whether the request was executed is unknown.
   void RejectResponse(const net::ResponseHead& head,
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -277,6 +277,12 @@
     connection_->Close();
     connection_.reset();
   }
+  if (not_executed_) {
+    // The head holds without its body, which is lost where the target closed
+    // with a part of the request unread. No evidence of a crash either.
+    OnNotExecuted();
+    return;
+  }
   state_.metrics.CountAttempt(net::NameOf(failure));
   LogFailedAttempt(net::NameOf(failure), 0, sent);
   if (!peer_.empty()) {
@@ -313,6 +319,12 @@
           connect_time_ < TargetPool::kConnectTimeout);
 }
 
+void Relay::OnNotExecuted() {
+  state_.metrics.CountAttempt("not_run");
+  RecordFailedResponse("not_run", BootNow());
+  RetryOrRefuse(Refusal::kTargetBusy);
+}
+
 void Relay::OnPeerFailure(bool sent) {
   if (sent) {
     may_have_run_ = true;
--- a/packages/front/src/relay_end.cc
+++ b/packages/front/src/relay_end.cc
@@ -27,12 +27,11 @@
     state_.peer_pool.Release(TargetId(peer_.text()), std::move(connection_));
   }
   connection_.reset();
-  state_.metrics.CountAttempt(not_executed_ ? "not_run" : "answered");
   if (not_executed_) {
-    RecordFailedResponse("not_run", now);
-    RetryOrRefuse(Refusal::kTargetBusy);
+    OnNotExecuted();
     return;
   }
+  state_.metrics.CountAttempt("answered");
   may_have_run_ = true;
   ended_at_ = now;
   if (response_mode_ == ResponseMode::kDiscard) {
--- a/tests/front/early_response_test.cc
+++ b/tests/front/early_response_test.cc
@@ -180,5 +180,22 @@
   }
 }
 
+// The head states that the request has not run. Where its body was cut by the
+// reset that the unread upload caused, the request counted as one that may have
+// run, and was answered with 502.
+TEST_CASE("an early head that says not executed holds without its body") {
+  Row row = AnyRow();
+  row.status = GENERATE(503, 421);
+  INFO(Text(row));
+  EarlyFleet fleet(row);
+  const std::string answer = fleet.Ask();
+  if (row.path == "/once/x") {
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503"));
+  } else {
+    CHECK_THAT(answer,
+               Catch::StartsWith("HTTP/1.1 200") && Catch::EndsWith("done"));
+  }
+}
+
 }  // namespace
 }  // namespace umbertrail::front
