Expected output of streams, and placement by the remaining work of targets

Placement took every stream for one of the engine's configured mean length: a full target was expected to free a slot once per mean stream over its slots.

OutputEstimator learns the events of complete streams by route, client account, prompt length and the client's hint; instances exchange up to 8 routes a message by gossip (a new last field of PeerMessage). RemainingWork forecasts from it when a target's next slot frees, which streams still decode when a prompt is read, and the memory in use. Place uses that, the target's decode slowdown (1 until it is measured) and the time until the stream's end, if Features::remaining_work is on.

--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -9,6 +9,7 @@
 #include "absl/time/time.h"
 #include "umbertrail/base.h"
 #include "umbertrail/dispatch/config.h"
+#include "umbertrail/dispatch/features.h"
 #include "umbertrail/dispatch/load_board.h"
 
 // Target selection. Each placement has a cost: the value its caller loses if
@@ -60,6 +61,8 @@
   double failure_rate = 0;
   // Ratio of recent measured to modelled prefill times; 1 as modelled.
   double slowdown = 1;
+  // Ratio of measured to modelled pauses between events; 1 as modelled.
+  double decode_slowdown = 1;
   // Time until its rate limit allows a request; zero if it does now.
   absl::Duration rate_wait = absl::ZeroDuration();
   // It could not reserve memory for this request, or failed as its helper.
@@ -117,12 +120,13 @@
                               absl::Duration max_event_gap);
 
 // Chooses among `candidates`. `engine` is null for a plain service. `tie` in
-// [0, 1) breaks ties among equal targets.
+// [0, 1) breaks ties among equal targets. Of `features` it uses remaining_work.
 PlacementResult Place(const RequestProfile& request,
                       const EngineModel* engine,
                       const std::vector<Candidate>& candidates,
                       absl::Time now,
-                      double tie);
+                      double tie,
+                      const Features& features = {});
 
 // The load that a request sent at `now` adds at each of its targets: first
 // `decision.target`, then each helper.
--- a/packages/dispatch/include/umbertrail/dispatch/target_health.h
+++ b/packages/dispatch/include/umbertrail/dispatch/target_health.h
@@ -12,6 +12,10 @@
   int first_events = 0;
   // Mean ratio of measured to predicted times to first event.
   double slowdown = 1;
+  // Windows of pauses between events, and the mean of their ratios to the
+  // modelled pass; see PauseRatio.
+  int pause_windows = 0;
+  double decode_slowdown = 1;
 };
 
 // Exponentially decayed statistics of a target's recent requests, as seen by
@@ -25,6 +29,9 @@
   // Records a first event after `actual` where `predicted` was expected.
   // Returns the ratio of actual to predicted.
   double RecordFirstEvent(absl::Duration predicted, absl::Duration actual);
+  // Records the ratio of the typical pause of `windows` windows to the modelled
+  // pass.
+  void RecordPauses(double ratio, int windows, absl::Time now);
   void MergePeerOutcomes(const Outcomes& outcomes, absl::Time now);
 
   // Fraction of recent requests that failed, 0 to 1, smoothed so that few
@@ -33,6 +40,10 @@
   bool InBackoff(absl::Time now) const { return now < backoff_until_; }
   // Moving average of actual to predicted times; at least 1.
   double slowdown() const { return pace_; }
+  // Moving average of measured to modelled pauses; at least 1. Without
+  // measurements it returns to 1, as a target that gets no requests can't show
+  // that it has recovered.
+  double DecodeSlowdown(absl::Time now) const;
 
  private:
   void Decay(absl::Time now);
@@ -44,6 +55,8 @@
   absl::Time backoff_until_ = absl::InfinitePast();
   absl::Duration backoff_;
   double pace_ = 1;
+  double decode_slowdown_ = 1;
+  absl::Time pauses_recorded_at_ = absl::InfinitePast();
 };
 
 }  // namespace umbertrail::dispatch
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -4,7 +4,9 @@
 #include <cmath>
 
 #include "umbertrail/dispatch/engine_time.h"
+#include "umbertrail/dispatch/output_estimator.h"
 #include "umbertrail/dispatch/pass_time.h"
+#include "umbertrail/dispatch/remaining_work.h"
 
 namespace umbertrail::dispatch {
 namespace {
@@ -110,6 +112,23 @@
   return scored;
 }
 
+// Costs that don't depend on when streams there end.
+double SharedCosts(const Candidate& candidate,
+                   double value,
+                   absl::Duration backlog,
+                   absl::Time now) {
+  const int occupied = Occupied(candidate);
+  double cost = kBacklogCostPerSecond * absl::ToDoubleSeconds(backlog);
+  cost += occupied < candidate.slots
+              ? -kPackingBonus * occupied / candidate.slots
+              : kPackingBonus * (occupied - candidate.slots + 1);
+  cost += BaseCost(candidate, value);
+  cost +=
+      value * std::min(1.0, absl::FDivDuration(OverdueBy(candidate.work, now),
+                                               kFullPenaltyLateness));
+  return cost;
+}
+
 ScoredCandidate ScoreEngine(const RequestProfile& request,
                             const EngineModel& engine,
                             const Candidate& candidate,
@@ -142,14 +161,84 @@
       candidate,
       PassTimeWithPrefill(engine, scored.load, request.prompt, prefill));
   scored.cost += scored.pause_cost;
-  scored.cost += kBacklogCostPerSecond * absl::ToDoubleSeconds(backlog);
-  scored.cost += occupied < candidate.slots
-                     ? -kPackingBonus * occupied / candidate.slots
-                     : kPackingBonus * (occupied - candidate.slots + 1);
-  scored.cost += BaseCost(candidate, value);
+  scored.cost += SharedCosts(candidate, value, backlog, now);
+  return scored;
+}
+
+// Value that the streams at a target lose if the pass in `wait` that reads a
+// prompt lasts `pass`. Streams that have ended by then lose nothing.
+double PauseCost(const Candidate& candidate,
+                 const RemainingWork& forecast,
+                 absl::Duration wait,
+                 absl::Duration pass) {
+  double pause_cost = 0;
+  for (const WorkItem& item : candidate.work) {
+    if (!item.is_helper && item.max_event_gap < pass) {
+      // Earlier prompts are read first, so their streams have begun by then.
+      const double share =
+          item.prefilling ? 1 : forecast.DecodingShareAt(item, wait);
+      pause_cost += share * kLateValueLoss * item.value;
+    }
+  }
+  return pause_cost;
+}
+
+// Value that the request loses if it is late: by its first event, by its
+// longest pause, which is a pass at least, or by its end.
+double OwnLateCost(const RequestProfile& request,
+                   const EngineModel& engine,
+                   double value,
+                   absl::Duration time_to_first_event,
+                   absl::Duration pass) {
+  const absl::Duration first = request.elapsed + time_to_first_event;
+  const double events = request.expected_events > 0 ? request.expected_events
+                                                    : DefaultEvents(engine);
+  double on_time = 1 - LatenessFactor(first, request.aim);
+  if (request.max_event_gap < absl::InfiniteDuration()) {
+    on_time *= 1 - LatenessFactor(pass, request.max_event_gap);
+  }
+  const double cut =
+      LatenessFactor(first + pass * events, request.time_remaining);
+  const double served = 1 - kLateValueLoss * (1 - on_time);
+  return value * (1 - served * (1 - cut));
+}
+
+// As ScoreEngine, with the slots and the streams that are expected when the
+// prompt is read, at the target's measured speed.
+ScoredCandidate ScoreByRemainingWork(const RequestProfile& request,
+                                     const EngineModel& engine,
+                                     const Candidate& candidate,
+                                     double value,
+                                     absl::Time now) {
+  const RemainingWork forecast(engine, candidate.work,
+                               {candidate.slowdown, candidate.decode_slowdown},
+                               now);
+  const int occupied = Occupied(candidate);
+  const absl::Duration prefill = PrefillTime(engine, request.prompt);
+  const absl::Duration backlog =
+      PrefillBacklog(candidate.work, candidate.slowdown, now);
+  const absl::Duration wait = std::max(
+      backlog, forecast.TimeUntilSlot(candidate.slots, request.urgency));
+  const RemainingWork::DecodeLoad decoding = forecast.DecodeLoadAt(wait);
+  ScoredCandidate scored;
+  scored.candidate = &candidate;
+  scored.load = ComputePassLoad(candidate.work, backlog, candidate.slowdown);
+  scored.load.decoding = static_cast<int>(std::lround(decoding.decoding));
+  scored.load.context = Tokens(std::llround(decoding.context_tokens));
+  const absl::Duration decode_pass =
+      DecodePassTime(engine, scored.load) * candidate.decode_slowdown;
+  scored.time_to_first_event = wait + candidate.slowdown * prefill;
+  if (occupied > 0) {
+    scored.time_to_first_event += decode_pass * kPassesToFirstEvent;
+  }
+  scored.cost = OwnLateCost(request, engine, value, scored.time_to_first_event,
+                            decode_pass);
+  const absl::Duration longest_pass =
+      PassTimeWithPrefill(engine, scored.load, request.prompt, prefill) -
+      DecodePassTime(engine, scored.load) + decode_pass;
+  scored.pause_cost = PauseCost(candidate, forecast, wait, longest_pass);
   scored.cost +=
-      value * std::min(1.0, absl::FDivDuration(OverdueBy(candidate.work, now),
-                                               kFullPenaltyLateness));
+      scored.pause_cost + SharedCosts(candidate, value, backlog, now);
   return scored;
 }
 
@@ -345,7 +434,8 @@
                       const EngineModel* engine,
                       const std::vector<Candidate>& candidates,
                       absl::Time now,
-                      double tie) {
+                      double tie,
+                      const Features& features) {
   const double value = RequestValue(request.prompt);
   std::vector<ScoredCandidate> scored;
   scored.reserve(candidates.size());
@@ -364,9 +454,12 @@
       min_wait = std::min(min_wait, candidate.rate_wait);
       continue;
     }
+    const auto score_engine =
+        features.remaining_work ? &ScoreByRemainingWork : &ScoreEngine;
     ScoredCandidate one =
-        engine != nullptr ? ScoreEngine(request, *engine, candidate, value, now)
-                          : ScorePlain(candidate);
+        engine != nullptr
+            ? score_engine(request, *engine, candidate, value, now)
+            : ScorePlain(candidate);
     if (engine != nullptr) {
       result.min_time_to_first_event =
           std::min(result.min_time_to_first_event, one.time_to_first_event);
--- a/packages/dispatch/src/target_health.cc
+++ b/packages/dispatch/src/target_health.cc
@@ -18,6 +18,9 @@
 // Maximum outcomes accepted from one message; no instance has more in so short
 // a time.
 constexpr int kMaxOutcomesPerMessage = 100;
+// An excess of the decode slowdown that isn't measured anew halves in this
+// time.
+constexpr absl::Duration kDecodeSlowdownHalfLife = absl::Seconds(10);
 // Shorter times to first event don't indicate the slowdown.
 constexpr absl::Duration kMinComparedTime = absl::Milliseconds(40);
 
@@ -67,12 +70,34 @@
   pace_ += weight * (std::clamp(ratio, 1.0, kMaxSlowdown) - pace_);
 }
 
+double TargetHealth::DecodeSlowdown(absl::Time now) const {
+  if (pauses_recorded_at_ == absl::InfinitePast()) {
+    return 1;
+  }
+  const double age = std::max(0.0, absl::FDivDuration(now - pauses_recorded_at_,
+                                                      kDecodeSlowdownHalfLife));
+  return 1 + (decode_slowdown_ - 1) * std::exp2(-age);
+}
+
+void TargetHealth::RecordPauses(double ratio, int windows, absl::Time now) {
+  if (!std::isfinite(ratio) || windows <= 0) {
+    return;
+  }
+  const double weight = 1 - std::pow(1 - kMovingAverageWeight,
+                                     std::min(windows, kMaxOutcomesPerMessage));
+  const double former = DecodeSlowdown(now);
+  decode_slowdown_ =
+      former + weight * (std::clamp(ratio, 1.0, kMaxSlowdown) - former);
+  pauses_recorded_at_ = now;
+}
+
 void TargetHealth::MergePeerOutcomes(const Outcomes& outcomes, absl::Time now) {
   Decay(now);
   successes_ += std::clamp(outcomes.successes, 0, kMaxOutcomesPerMessage);
   failures_ += std::clamp(outcomes.failures, 0, kMaxOutcomesPerMessage);
   UpdateSlowdown(outcomes.slowdown,
                  std::clamp(outcomes.first_events, 0, kMaxOutcomesPerMessage));
+  RecordPauses(outcomes.decode_slowdown, outcomes.pause_windows, now);
 }
 
 double TargetHealth::FailureRate(absl::Time now) const {
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -41,6 +41,8 @@
   void CountRetry(bool granted);
   // Records the time from a request's arrival to its stream's first event.
   void ObserveFirstEvent(Tokens prompt, absl::Duration after);
+  // Records the ratio of a stream's actual to its expected events.
+  void ObserveOutputRatio(double ratio);
   void CountStoreCall(absl::string_view kind);
   // `result` is "answered" or "silent" for a home's reply, "here" for a local
   // decision.
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 #include "platform/request_codec.h"
 #include "umbertrail/dispatch/admission.h"
+#include "umbertrail/dispatch/output_estimator.h"
 #include "umbertrail/dispatch/response_end.h"
 #include "umbertrail/front/memory_reservation.h"
 #include "umbertrail/front/placer.h"
@@ -85,6 +86,11 @@
   bool RefuseIfBlocked(absl::Time now);
   // The properties of this request that placement depends on.
   dispatch::RequestProfile ProfileAt(absl::Time now) const;
+  dispatch::OutputQuery OutputQueryForRequest() const;
+  // Further events that the stream is expected to have; zero if unknown.
+  double ExpectedEvents(absl::Time now) const;
+  // Learns from a stream that was received completely.
+  void LearnOutput(absl::Time now);
   // Requests a placement among the targets not tried yet. `callback` runs
   // synchronously or later, and not after the request has finished.
   void RequestPlacement(void (*callback)(Relay& relay,
@@ -198,6 +204,8 @@
   // End of the current attempt's response.
   absl::Time ended_at_;
   absl::Duration predicted_first_event_;
+  // Of the whole stream, as of the current attempt; zero if unknown.
+  double expected_events_ = 0;
   ResponseMode response_mode_ = ResponseMode::kUndecided;
   // The target stated the length of its stream, and so where it ends.
   bool has_stated_length_ = false;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -22,6 +22,7 @@
 #include "umbertrail/dispatch/freshness.h"
 #include "umbertrail/dispatch/load_board.h"
 #include "umbertrail/dispatch/members.h"
+#include "umbertrail/dispatch/output_estimator.h"
 #include "umbertrail/dispatch/placement.h"
 #include "umbertrail/dispatch/shards.h"
 #include "umbertrail/dispatch/target_health.h"
@@ -161,6 +162,7 @@
   // Connections to other instances, by address.
   TargetPool peer_pool;
   dispatch::TargetLinks links;
+  dispatch::OutputEstimator outputs;
   std::map<TargetId, dispatch::TargetHealth> health;
   std::map<TargetId, dispatch::TargetRate> rates;
   dispatch::TargetLimits limits;
--- a/packages/front/include/umbertrail/front/stream_framer.h
+++ b/packages/front/include/umbertrail/front/stream_framer.h
@@ -22,18 +22,22 @@
   bool has_incomplete_event() const;
   // True if the incomplete event is longer than any that a target sends.
   bool is_event_too_long() const { return pending_.size() > kMaxEventBytes; }
+  // Number of events taken, without blank lines between them.
+  int event_count() const { return event_count_; }
   // Id of the last event taken that had one; empty if none had.
   const std::string& last_event_id() const { return last_event_id_; }
 
  private:
   static constexpr size_t kMaxEventBytes = 262144;
 
-  void UpdateLastEventId(absl::string_view events);
+  // Updates the id of the last event and the number of events.
+  void ScanEvents(absl::string_view events);
 
   std::string pending_;
   // Bytes at the start of `pending_` that hold no end of an event.
   size_t searched_ = 0;
   std::string last_event_id_;
+  int event_count_ = 0;
 };
 
 }  // namespace umbertrail::front
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -19,6 +19,10 @@
   return {0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 3, 5, 8, 15};
 }
 
+prometheus::Histogram::BucketBoundaries RatioBounds() {
+  return {0.1, 0.25, 0.5, 0.8, 1.25, 2, 4, 10};
+}
+
 std::string NameOf(dispatch::Repeat repeat) {
   switch (repeat) {
     case dispatch::Repeat::kNever:
@@ -94,6 +98,11 @@
           .Name("umbertrail_first_event_seconds")
           .Help("From a request's arrival to its first event, by length")
           .Register(registry);
+  prometheus::Family<prometheus::Histogram>& output_ratios =
+      prometheus::BuildHistogram()
+          .Name("umbertrail_output_ratio")
+          .Help("Actual events of complete streams, over the expected ones")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& gauges =
       prometheus::BuildGauge()
           .Name("umbertrail_state")
@@ -131,6 +140,10 @@
       .Observe(absl::ToDoubleSeconds(after));
 }
 
+void Metrics::ObserveOutputRatio(double ratio) {
+  families_->output_ratios.Add({}, RatioBounds()).Observe(ratio);
+}
+
 void Metrics::CountResponseEnd(absl::string_view process,
                                absl::string_view verdict) {
   families_->response_ends
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -7,6 +7,7 @@
 
 #include "peer_codec.h"
 #include "peer_message.h"
+#include "peer_output.h"
 #include "umbertrail/dispatch/freshness.h"
 
 #include "absl/strings/string_view.h"
@@ -143,6 +144,7 @@
     ApplyLoadReport(message, id, now);
     ApplyTargetEvents(message, now);
     ApplyCrashes(message, now);
+    MergeRouteOutputs(message, now, &state_.outputs);
   }
   if (message.leaving) {
     return;
@@ -314,6 +316,7 @@
   }
   AddCrashes(message, now);
   AddLimits(message, now);
+  AddRouteOutputs(state_.outputs, now, state_.random, message);
 }
 
 void PeerLink::AddCrashes(PeerMessage* message, absl::Time now) {
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -195,6 +195,26 @@
                        latency_ratio);
 };
 
+// The sender's own samples of the output of a route's streams. Logarithms and
+// their variances are in hundredths, weights in tenths of a sample.
+struct PeerRouteOutput {
+  uint64_t route = 0;
+  uint32_t events_weight = 0;
+  int32_t events_mean = 0;
+  uint32_t events_variance = 0;
+  // Of the ratio of actual events to the client's hint.
+  uint32_t hint_weight = 0;
+  int32_t hint_mean = 0;
+  uint32_t hint_variance = 0;
+  MSGPACK_DEFINE_ARRAY(route,
+                       events_weight,
+                       events_mean,
+                       events_variance,
+                       hint_weight,
+                       hint_mean,
+                       hint_variance);
+};
+
 struct PeerMessage {
   uint32_t version = kPeerMessageVersion;
   uint64_t incarnation = 0;
@@ -228,6 +248,8 @@
   std::vector<PeerOutcome> outcomes;
   std::vector<PeerPlacementRequest> placement_requests;
   std::vector<PeerPlacementReply> placement_replies;
+  // Only in gossip.
+  std::vector<PeerRouteOutput> route_outputs;
   MSGPACK_DEFINE_ARRAY(version,
                        incarnation,
                        sequence,
@@ -250,7 +272,8 @@
                        limits,
                        outcomes,
                        placement_requests,
-                       placement_replies);
+                       placement_replies,
+                       route_outputs);
 };
 
 // Follows the message in a datagram; specific to its receiver. Timestamps are
--- a/packages/front/src/placer.cc
+++ b/packages/front/src/placer.cc
@@ -241,8 +241,9 @@
                   request.excluded_helpers.end(),
                   candidate.id) != request.excluded_helpers.end();
   }
-  reply.result = dispatch::Place(request.profile, state_.EngineFor(request),
-                                 candidates, now, state_.Random());
+  reply.result =
+      dispatch::Place(request.profile, state_.EngineFor(request), candidates,
+                      now, state_.Random(), state_.features);
   return reply;
 }
 
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -227,6 +227,7 @@
   if (!account_.empty()) {
     profile.account = AccountHash(StableHash(account_.text()));
   }
+  profile.expected_events = ExpectedEvents(now);
   return profile;
 }
 
@@ -339,8 +340,10 @@
   const dispatch::EngineModel* engine =
       service_ != nullptr && service_->engine ? &*service_->engine : nullptr;
   const absl::Time now = BootNow();
+  const dispatch::RequestProfile profile = ProfileAt(now);
+  expected_events_ = profile.expected_events + framer_.event_count();
   for (const auto& [target, item] :
-       dispatch::WorkItemsFor(ProfileAt(now), engine, placed, now)) {
+       dispatch::WorkItemsFor(profile, engine, placed, now)) {
     work_ids_.push_back(state_.board.Begin(target, item));
   }
 }
@@ -412,6 +415,7 @@
        {"attempt", static_cast<int64_t>(attempts_)},
        {"prompt", facts_.prompt.value()},
        {"helpers", static_cast<int64_t>(placed.helpers.size())},
+       {"expected_events", expected_events_},
        {"expected_ms", absl::ToInt64Milliseconds(predicted_first_event_)}},
       now);
   connection_ = state_.pool.Acquire(target_, *endpoint);
--- a/packages/front/src/relay_end.cc
+++ b/packages/front/src/relay_end.cc
@@ -180,6 +180,7 @@
   }
   if (is_certain && response_head_.status / 100 == 2) {
     state_.crash_evidence.RecordAnswer(contents_, now);
+    LearnOutput(now);
   }
   CompleteResponse();
 }
--- a/packages/front/src/stream_framer.cc
+++ b/packages/front/src/stream_framer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/string_view.h"
 #include "absl/strings/strip.h"
 
@@ -35,7 +36,7 @@
   std::string events = pending_.substr(0, end);
   pending_.erase(0, end);
   searched_ = pending_.size();
-  UpdateLastEventId(events);
+  ScanEvents(events);
   return events;
 }
 
@@ -50,12 +51,19 @@
   return pending_.find_first_not_of("\r\n") != std::string::npos;
 }
 
-void StreamFramer::UpdateLastEventId(absl::string_view events) {
+void StreamFramer::ScanEvents(absl::string_view events) {
+  bool has_data = false;
   while (!events.empty()) {
     const size_t end = events.find('\n');
     absl::string_view line = events.substr(0, end);
     events.remove_prefix(end == absl::string_view::npos ? events.size()
                                                         : end + 1);
+    // A blank line ends an event; one without data is a comment or a setting.
+    if (line.empty() || line == "\r") {
+      event_count_ += has_data ? 1 : 0;
+      has_data = false;
+    }
+    has_data = has_data || absl::StartsWith(line, "data");
     if (absl::ConsumePrefix(&line, "id:")) {
       last_event_id_ = std::string(absl::StripAsciiWhitespace(line));
     }
--- a/tests/dispatch/engine_play.cc
+++ b/tests/dispatch/engine_play.cc
@@ -14,7 +14,10 @@
   std::string target;
   WorkItem item;
   int parts_left = 0;
+  int events = 0;
   int events_left = 0;
+  std::optional<Tokens> hint;
+  PauseWindow pauses;
   absl::Time last_event = absl::InfinitePast();
   absl::Duration first_after;
   absl::Duration longest_pause = absl::ZeroDuration();
@@ -22,8 +25,12 @@
 
 EngineSimulation::EngineSimulation(const EngineModel& engine,
                                    int targets,
-                                   uint64_t seed)
-    : engine_(engine), random_(seed) {
+                                   uint64_t seed,
+                                   const Features& features)
+    : engine_(engine),
+      random_(seed),
+      features_(features),
+      slowdown_([](size_t /*target*/, absl::Time /*now*/) { return 1.0; }) {
   for (int i = 0; i < targets; ++i) {
     Target target;
     target.id = std::to_string(i);
@@ -60,11 +67,59 @@
     candidate.slots = engine_.slots;
     candidate.same_data_centre = true;
     candidate.work = WorkAt(target);
+    candidate.slowdown = target.health.slowdown();
+    candidate.decode_slowdown = target.health.DecodeSlowdown(now_);
     candidates.push_back(std::move(candidate));
   }
   return candidates;
 }
 
+int EngineSimulation::EventCount(const RequestClass& kind) {
+  if (kind.event_log_stddev == 0) {
+    return 1 +
+           std::poisson_distribution<int>(kind.mean_event_count - 1)(random_);
+  }
+  std::lognormal_distribution<double> events(
+      std::log(kind.mean_event_count) -
+          kind.event_log_stddev * kind.event_log_stddev / 2,
+      kind.event_log_stddev);
+  return std::max(1, static_cast<int>(std::lround(events(random_))));
+}
+
+OutputQuery EngineSimulation::QueryOf(const Request& request) const {
+  OutputQuery query;
+  // All classes come by one route.
+  query.route = RouteHashOf("route");
+  query.account = AccountHash(request.kind.account);
+  query.prompt = request.prompt;
+  query.hint = request.hint;
+  return query;
+}
+
+EngineSimulation::Target& EngineSimulation::TargetOf(const Request& request) {
+  return *std::find_if(
+      targets_.begin(), targets_.end(),
+      [&](const Target& target) { return target.id == request.target; });
+}
+
+void EngineSimulation::LearnFrom(Request& request) {
+  Target& target = TargetOf(request);
+  if (request.last_event == absl::InfinitePast()) {
+    request.item.first_event_at = now_;
+    target.health.RecordFirstEvent(request.item.time_to_first_event,
+                                   now_ - request.arrived_at);
+  } else if (const auto pause = request.pauses.Add(now_ - request.last_event)) {
+    const auto ratio = PauseRatio(engine_, WorkAt(target),
+                                  target.health.slowdown(), *pause, now_);
+    if (ratio) {
+      target.health.RecordPauses(*ratio, 1, now_);
+    }
+  }
+  if (request.events_left == 1) {
+    outputs_.Learn(QueryOf(request), engine_, request.events, now_);
+  }
+}
+
 void EngineSimulation::Arrive(const RequestClass& kind) {
   auto request = std::make_shared<Request>();
   request->kind = kind;
@@ -74,16 +129,26 @@
   request->prompt =
       Tokens(static_cast<int64_t>(std::min(size(random_), kind.max_prompt)));
   request->arrived_at = now_;
-  request->events_left =
-      1 + std::poisson_distribution<int>(kind.mean_event_count - 1)(random_);
+  request->events = EventCount(kind);
+  request->events_left = request->events;
+  if (kind.hint_log_stddev >= 0) {
+    std::normal_distribution<double> error(0, 1);
+    request->hint = Tokens(
+        static_cast<int64_t>(request->events * engine_.steps_per_pass *
+                             std::exp(kind.hint_log_stddev * error(random_))));
+  }
   ++results_[kind.name].submitted;
   RequestProfile profile;
   profile.prompt = request->prompt;
   profile.aim = kind.aim;
   profile.max_event_gap = kind.gap_aim;
-  profile.time_remaining = absl::Seconds(15);
+  profile.time_remaining = kind.timeout;
+  if (features_.output_estimates) {
+    profile.expected_events =
+        outputs_.Estimate(QueryOf(*request), engine_, now_).mean;
+  }
   const PlacementResult result =
-      Place(profile, &engine_, Candidates(), now_, Uniform());
+      Place(profile, &engine_, Candidates(), now_, Uniform(), features_);
   if (!result.decision) {
     ++results_[kind.name].refused;
     return;
@@ -150,10 +215,12 @@
     target.completed_prefills.push_back(*it);
     it = target.waiting.erase(it);
   }
-  target.pass_ends = now_ + pass;
+  const auto index = static_cast<size_t>(&target - targets_.data());
+  target.pass_ends = now_ + pass * slowdown_(index, now_);
 }
 
 void EngineSimulation::EmitEvent(const std::shared_ptr<Request>& request) {
+  LearnFrom(*request);
   if (request->last_event == absl::InfinitePast()) {
     request->first_after = now_ - request->arrived_at;
   } else {
@@ -169,6 +236,8 @@
     ++result.late_first;
   } else if (request->longest_pause > request->kind.gap_aim) {
     ++result.late_pause;
+  } else if (now_ - request->arrived_at > request->kind.timeout) {
+    ++result.late_end;
   } else {
     ++result.on_time;
   }
--- a/tests/dispatch/engine_play.h
+++ b/tests/dispatch/engine_play.h
@@ -3,13 +3,17 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "umbertrail/dispatch/output_estimator.h"
+#include "umbertrail/dispatch/pause_window.h"
 #include "umbertrail/dispatch/placement.h"
+#include "umbertrail/dispatch/target_health.h"
 
 // Discrete-event simulation of callers and model engines that work in passes,
 // with Place deciding between them. Placement sees only what a load board would
@@ -28,6 +32,14 @@
   int mean_event_count = 1;
   absl::Duration aim;
   absl::Duration gap_aim;
+  // Identifies the client account; zero if there is none.
+  uint64_t account = 0;
+  // Standard deviation of the logarithm of the event count; if zero, it has a
+  // Poisson distribution.
+  double event_log_stddev = 0;
+  // As above, of the client's hint about it; negative if it gives none.
+  double hint_log_stddev = -1;
+  absl::Duration timeout = absl::Seconds(15);
 };
 
 struct ClassResult {
@@ -36,12 +48,22 @@
   int late_first = 0;
   // First event on time, but a pause above the class's SLO.
   int late_pause = 0;
+  // Events on time, but the last one after the timeout.
+  int late_end = 0;
   int refused = 0;
 };
 
 class EngineSimulation {
  public:
-  EngineSimulation(const EngineModel& engine, int targets, uint64_t seed);
+  // Ratio of a target's actual to its modelled times.
+  using Slowdown = std::function<double(size_t target, absl::Time now)>;
+
+  EngineSimulation(const EngineModel& engine,
+                   int targets,
+                   uint64_t seed,
+                   const Features& features = {});
+
+  void SetSlowdown(Slowdown slowdown) { slowdown_ = std::move(slowdown); }
 
   // Simulates arrivals of `kinds` for `length`; results accumulate.
   void Run(const std::vector<RequestClass>& kinds, absl::Duration length);
@@ -64,11 +86,13 @@
     std::deque<Prefill> waiting;
     std::vector<std::shared_ptr<Request>> decoding;
     absl::Time pass_ends = absl::InfiniteFuture();
+    TargetHealth health;
     // Parts whose prefill the running pass completes.
     std::vector<Prefill> completed_prefills;
   };
 
   void Arrive(const RequestClass& kind);
+  int EventCount(const RequestClass& kind);
   std::vector<Candidate> Candidates() const;
   std::vector<WorkItem> WorkAt(const Target& target) const;
   void Submit(const std::shared_ptr<Request>& request,
@@ -76,6 +100,10 @@
   void StartPass(Target& target);
   void EndPass(Target& target);
   void EmitEvent(const std::shared_ptr<Request>& request);
+  // What an instance learns from an event, before it is counted.
+  void LearnFrom(Request& request);
+  Target& TargetOf(const Request& request);
+  OutputQuery QueryOf(const Request& request) const;
   void RunUntil(absl::Time until);
   double Uniform();
 
@@ -83,6 +111,9 @@
   std::vector<Target> targets_;
   std::map<std::string, ClassResult> results_;
   std::mt19937_64 random_;
+  Features features_;
+  OutputEstimator outputs_;
+  Slowdown slowdown_;
   absl::Time now_ = absl::FromUnixSeconds(1000);
 };
 
--- a/tests/dispatch/placement_load_test.cc
+++ b/tests/dispatch/placement_load_test.cc
@@ -55,7 +55,8 @@
               << " late, " << result.late_pause << " by a pause, "
               << result.refused << " refused");
     CHECK(result.submitted == result.on_time + result.late_first +
-                                  result.late_pause + result.refused);
+                                  result.late_pause + result.late_end +
+                                  result.refused);
     sum.submitted += result.submitted;
     sum.on_time += result.on_time;
     sum.late_pause += result.late_pause;
