Placement: urgency, fair shares and waiting decide who gives way

Cause: when demand exceeds the engines, every request was placed as it came. Long prompts of low urgency paused urgent streams, one account's flood took the room of all, and queues made everyone late.

Change: a stream's pause counts more, the more urgent it is than the request that causes it. A home meters the engine time of each account from the load of its targets (max-min shares) and keeps a line of requests that it told when to ask again (new last field of the placement reply). Requests sent before don't give way. Without the features nothing changes.

--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -46,6 +46,8 @@
   double expected_events = 0;
   // Identifies the client account; zero if there is none.
   AccountHash account;
+  // It was sent to a target before, which failed.
+  bool is_retry = false;
 };
 
 // State of one target that can serve the request.
@@ -81,6 +83,9 @@
   // there, in units of a short request's value; comparable only among
   // placements of one request.
   double cost = 0;
+  // The part of the cost that is borne by streams more urgent than the request;
+  // not sent to other instances.
+  double cost_to_more_urgent = 0;
 };
 
 struct PlacementResult {
--- a/packages/dispatch/include/umbertrail/dispatch/urgency.h
+++ b/packages/dispatch/include/umbertrail/dispatch/urgency.h
@@ -13,6 +13,12 @@
 // `account` is null) its route's, limited to the range.
 int UrgencyOf(const Route& route, const Account* account);
 
+// How much the value of a request of `urgency` counts for a decision about a
+// request of `reference`: 1 if they are equal, twice as much for each step that
+// it is more urgent, half for each step that it is less, within bounds. Being
+// relative, it changes nothing among requests of one urgency.
+double UrgencyWeight(int urgency, int reference);
+
 }  // namespace umbertrail::dispatch
 
 #endif  // UMBERTRAIL_DISPATCH_URGENCY_H_
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -5,6 +5,7 @@
 
 #include "umbertrail/dispatch/engine_time.h"
 #include "umbertrail/dispatch/pass_time.h"
+#include "umbertrail/dispatch/urgency.h"
 
 namespace umbertrail::dispatch {
 namespace {
@@ -73,15 +74,26 @@
                     [](const WorkItem& item) { return !item.is_helper; }));
 }
 
-// Value that the streams at a target lose if a pass there lasts `pass`.
-double PauseCost(const Candidate& candidate, absl::Duration pass) {
-  double pause_cost = 0;
+// Value that streams at a target lose by a pass that is too long for them, to a
+// request of a certain urgency.
+struct PauseLoss {
+  double total = 0;
+  double more_urgent = 0;
+};
+
+PauseLoss PauseCost(const Candidate& candidate,
+                    absl::Duration pass,
+                    int urgency) {
+  PauseLoss loss;
   for (const WorkItem& item : candidate.work) {
     if (!item.is_helper && item.max_event_gap < pass) {
-      pause_cost += kLateValueLoss * item.value;
+      const double lost =
+          kLateValueLoss * item.value * UrgencyWeight(item.urgency, urgency);
+      loss.total += lost;
+      loss.more_urgent += item.urgency < urgency ? lost : 0;
     }
   }
-  return pause_cost;
+  return loss;
 }
 
 // A candidate with its predicted latency and cost.
@@ -91,6 +103,8 @@
   absl::Duration time_to_first_event;
   // Value that streams there lose by this prefill; part of the cost.
   double pause_cost = 0;
+  // The part of it that more urgent streams lose.
+  double pause_cost_to_more_urgent = 0;
   double cost = 0;
 };
 
@@ -138,9 +152,12 @@
   scored.cost =
       kLateValueLoss * value *
       LatenessFactor(request.elapsed + scored.time_to_first_event, request.aim);
-  scored.pause_cost = PauseCost(
+  const PauseLoss pause_loss = PauseCost(
       candidate,
-      PassTimeWithPrefill(engine, scored.load, request.prompt, prefill));
+      PassTimeWithPrefill(engine, scored.load, request.prompt, prefill),
+      request.urgency);
+  scored.pause_cost = pause_loss.total;
+  scored.pause_cost_to_more_urgent = pause_loss.more_urgent;
   scored.cost += scored.pause_cost;
   scored.cost += kBacklogCostPerSecond * absl::ToDoubleSeconds(backlog);
   scored.cost += occupied < candidate.slots
@@ -237,6 +254,20 @@
   return decision->helpers.size() >= needed;
 }
 
+double CostToMoreUrgent(const PlacementDecision& decision,
+                        const std::vector<ScoredCandidate>& scored) {
+  double cost = 0;
+  for (const ScoredCandidate& one : scored) {
+    const TargetId& id = one.candidate->id;
+    if (id == decision.target ||
+        std::find(decision.helpers.begin(), decision.helpers.end(), id) !=
+            decision.helpers.end()) {
+      cost += one.pause_cost_to_more_urgent;
+    }
+  }
+  return cost;
+}
+
 }  // namespace
 
 std::optional<PlacementMode> ParsePlacementMode(absl::string_view name) {
@@ -407,6 +438,7 @@
         kMinRetryAfter, kMaxRetryAfter);
     return result;
   }
+  decision.cost_to_more_urgent = CostToMoreUrgent(decision, scored);
   result.decision = std::move(decision);
   return result;
 }
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -45,6 +45,9 @@
   // `result` is "answered" or "silent" for a home's reply, "here" for a local
   // decision.
   void CountPlacementRequest(absl::string_view result);
+  // Counts a request that gave way to others, by why and what became of it:
+  // "waits", "refused" or "placed".
+  void CountYield(absl::string_view reason, absl::string_view outcome);
   void CountDroppedLogLine();
 
   std::string Text(const Gauges& gauges) const;
--- a/packages/front/include/umbertrail/front/placer.h
+++ b/packages/front/include/umbertrail/front/placer.h
@@ -9,6 +9,7 @@
 
 #include "umbertrail/dispatch/placement.h"
 #include "umbertrail/dispatch/shards.h"
+#include "umbertrail/front/shard_orders.h"
 #include "umbertrail/front/state.h"
 
 namespace umbertrail::front {
@@ -31,6 +32,9 @@
   // Number of targets considered.
   size_t candidate_count = 0;
   dispatch::PlacementResult result;
+  // If nothing was placed: time after which the request should be placed again;
+  // zero if it is to be refused.
+  absl::Duration ask_again;
 };
 
 // Places requests on targets: locally where this instance is a home of the
@@ -46,7 +50,7 @@
   using Callback = std::function<void(const PlacementReply& reply)>;
 
   Placer(State& state, SendRequest send)
-      : state_(state), send_(std::move(send)) {}
+      : state_(state), send_(std::move(send)), orders_(state) {}
 
   // Places a request on any target of `request.shard.service`; the other shard
   // fields must be unset. `done` runs synchronously where no home is asked.
@@ -64,11 +68,16 @@
   class Search;
   class ShardRequest;
 
+  // Whether this instance knows the load well enough to decide who gives way.
+  enum class Knowledge { kHome, kOwnLoad };
+
   // Places by local state alone.
-  PlacementReply PlaceLocally(const PlacementRequest& request);
+  PlacementReply PlaceLocally(const PlacementRequest& request,
+                              Knowledge knowledge);
 
   State& state_;
   SendRequest send_;
+  ShardOrders orders_;
   uint64_t next_id_ = 1;
   std::map<uint64_t, std::weak_ptr<ShardRequest>> pending_;
 };
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -90,6 +90,10 @@
   void RequestPlacement(void (*callback)(Relay& relay,
                                          const PlacementReply& reply));
   void OnPlaced(const PlacementReply& reply);
+  // Places the request again after `ask_again`, unless that is zero or too long
+  // for its client; false then.
+  bool WaitForPlace(absl::Duration ask_again);
+  void OnAskAgain();
   void OnAlternativePlaced(const PlacementReply& reply);
   // Whether a request that has received no event may be retried elsewhere.
   bool MayMoveToAnotherTarget(absl::Time now) const;
@@ -163,6 +167,9 @@
   absl::Time deadline_;
   net::Timer deadline_alarm_;
   net::Timer first_event_alarm_;
+  net::Timer wait_alarm_;
+  // It was told to ask for a place again.
+  bool has_waited_ = false;
 
   std::vector<TargetId> tried_targets_;
   int attempts_ = 0;
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -79,6 +79,11 @@
           .Name("umbertrail_home_questions_total")
           .Help("Questions about places, by what became of them")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& yields =
+      prometheus::BuildCounter()
+          .Name("umbertrail_requests_giving_way_total")
+          .Help("Requests that gave way to others, by why and outcome")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& lost_lines =
       prometheus::BuildCounter()
           .Name("umbertrail_log_lines_lost_total")
@@ -151,6 +156,11 @@
   families_->home_questions.Add({{"result", Copy(result)}}).Increment();
 }
 
+void Metrics::CountYield(absl::string_view reason, absl::string_view outcome) {
+  families_->yields.Add({{"reason", Copy(reason)}, {"outcome", Copy(outcome)}})
+      .Increment();
+}
+
 void Metrics::CountDroppedLogLine() {
   families_->lost_lines.Add({}).Increment();
 }
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -260,6 +260,7 @@
   wire.urgency = static_cast<uint8_t>(request.profile.urgency);
   wire.expected_events = static_cast<float>(request.profile.expected_events);
   wire.account = request.profile.account.value();
+  wire.is_retry = request.profile.is_retry;
   return wire;
 }
 
@@ -286,6 +287,7 @@
   request.profile.urgency = wire.urgency;
   request.profile.expected_events = ToEvents(wire.expected_events);
   request.profile.account = AccountHash(wire.account);
+  request.profile.is_retry = wire.is_retry;
   return request;
 }
 
@@ -304,6 +306,7 @@
     wire.charged_to_limit = placed.charged_to_limit;
   }
   wire.retry_after_ms = ToMillis(reply.result.retry_after);
+  wire.ask_again_ms = ToMillis(reply.ask_again);
   if (reply.result.min_time_to_first_event != absl::InfiniteDuration()) {
     wire.earliest_first_event_ms =
         ToMillis(reply.result.min_time_to_first_event);
@@ -326,6 +329,7 @@
     reply.result.decision = std::move(placed);
   }
   reply.result.retry_after = absl::Milliseconds(wire.retry_after_ms);
+  reply.ask_again = absl::Milliseconds(wire.ask_again_ms);
   if (wire.earliest_first_event_ms >= 0) {
     reply.result.min_time_to_first_event =
         absl::Milliseconds(wire.earliest_first_event_ms);
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -113,6 +113,8 @@
   float expected_events = 0;
   // Hash of the client account; 0: none.
   uint64_t account = 0;
+  // The request was sent to a target before, which failed.
+  bool is_retry = false;
   MSGPACK_DEFINE_ARRAY(id,
                        service,
                        data_centre,
@@ -128,7 +130,8 @@
                        excluded_helpers,
                        urgency,
                        expected_events,
-                       account);
+                       account,
+                       is_retry);
 };
 
 // A home's reply to a request. The slot at an offered target is reserved for a
@@ -149,6 +152,9 @@
   int64_t earliest_first_event_ms = -1;
   // The request is charged to the rate limit that the target states.
   bool charged_to_limit = false;
+  // Without a target: the requester is expected to ask again after this time;
+  // 0: the request is to be refused.
+  uint32_t ask_again_ms = 0;
   MSGPACK_DEFINE_ARRAY(id,
                        candidates,
                        target,
@@ -158,7 +164,8 @@
                        cost,
                        retry_after_ms,
                        earliest_first_event_ms,
-                       charged_to_limit);
+                       charged_to_limit,
+                       ask_again_ms);
 };
 
 // A target that announced its departure, identified by its birth time.
--- a/packages/front/src/placer.cc
+++ b/packages/front/src/placer.cc
@@ -24,6 +24,17 @@
   return reply.result.decision->cost < other.result.decision->cost;
 }
 
+// When to ask again if neither reply has a placement; zero if no home keeps the
+// request waiting.
+absl::Duration MergedAskAgain(const PlacementReply& reply,
+                              const PlacementReply& other) {
+  if (reply.ask_again == absl::ZeroDuration() ||
+      other.ask_again == absl::ZeroDuration()) {
+    return std::max(reply.ask_again, other.ask_again);
+  }
+  return std::min(reply.ask_again, other.ask_again);
+}
+
 }  // namespace
 
 // A placement request for one shard.
@@ -42,10 +53,12 @@
     const std::vector<InstanceId> homes =
         state.HomesOf(request_.shard, BootNow());
     const InstanceId self(state.settings.ip);
-    if (attempts_ >= kMaxHomesAsked || homes.empty() ||
-        std::find(homes.begin(), homes.end(), self) != homes.end()) {
+    const bool is_home =
+        std::find(homes.begin(), homes.end(), self) != homes.end();
+    if (attempts_ >= kMaxHomesAsked || homes.empty() || is_home) {
       state.metrics.CountPlacementRequest("here");
-      End(placer_->PlaceLocally(request_));
+      End(placer_->PlaceLocally(
+          request_, is_home ? Knowledge::kHome : Knowledge::kOwnLoad));
       return;
     }
     ++attempts_;
@@ -59,7 +72,9 @@
   void HandleReply(const InstanceId& from, const PlacementReply& reply) {
     if (from == home_) {
       placer_->state_.metrics.CountPlacementRequest("answered");
-      End(IsServable(reply) ? reply : placer_->PlaceLocally(request_));
+      End(IsServable(reply)
+              ? reply
+              : placer_->PlaceLocally(request_, Knowledge::kOwnLoad));
     }
   }
 
@@ -153,6 +168,7 @@
     const absl::Duration earliest =
         std::min(best_reply_.result.min_time_to_first_event,
                  reply.result.min_time_to_first_event);
+    const absl::Duration ask_again = MergedAskAgain(reply, best_reply_);
     const absl::Duration retry_after =
         has_reply_
             ? std::min(best_reply_.result.retry_after, reply.result.retry_after)
@@ -164,6 +180,7 @@
     best_reply_.candidate_count = candidate_count;
     best_reply_.result.min_time_to_first_event = earliest;
     best_reply_.result.retry_after = retry_after;
+    best_reply_.ask_again = ask_again;
     if (--pending_count_ > 0) {
       return;
     }
@@ -199,7 +216,7 @@
 void Placer::Place(PlacementRequest request, Callback done) {
   if (state_.mode != dispatch::PlacementMode::kPredicted ||
       dispatch::AllInstancesAreHomes(state_.live_instances)) {
-    done(PlaceLocally(request));
+    done(PlaceLocally(request, Knowledge::kHome));
     return;
   }
   std::vector<dispatch::Shard> shards =
@@ -225,7 +242,8 @@
   }
 }
 
-PlacementReply Placer::PlaceLocally(const PlacementRequest& request) {
+PlacementReply Placer::PlaceLocally(const PlacementRequest& request,
+                                    Knowledge knowledge) {
   const absl::Time now = BootNow();
   auto candidates = state_.CandidatesFor(
       request.shard, request.sender_data_centre, request.excluded_targets, now);
@@ -241,6 +259,10 @@
                   request.excluded_helpers.end(),
                   candidate.id) != request.excluded_helpers.end();
   }
+  if (knowledge == Knowledge::kHome && orders_.Apply(request)) {
+    orders_.Place(request, std::move(candidates), now, &reply);
+    return reply;
+  }
   reply.result = dispatch::Place(request.profile, state_.EngineFor(request),
                                  candidates, now, state_.Random());
   return reply;
@@ -252,7 +274,7 @@
   if (!state_.view.has_config()) {
     return reply;
   }
-  reply = PlaceLocally(request);
+  reply = PlaceLocally(request, Knowledge::kHome);
   if (reply.result.decision) {
     const absl::Time now = BootNow();
     dispatch::PlacementDecision& placed = *reply.result.decision;
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -54,7 +54,8 @@
       waiting_since_(started_),
       deadline_(absl::InfiniteFuture()),
       deadline_alarm_(state.loop),
-      first_event_alarm_(state.loop) {}
+      first_event_alarm_(state.loop),
+      wait_alarm_(state.loop) {}
 
 bool Relay::is_stream() const {
   return dispatch::IsStream(route_->repeat);
@@ -200,6 +201,9 @@
                                    ? next_accepting
                                    : absl::Milliseconds(500));
   } else if (!reply.result.decision) {
+    if (WaitForPlace(reply.ask_again)) {
+      return;
+    }
     Refuse(Refusal::kOverloaded,
            std::min(next_accepting,
                     reply.result.retry_after * (1 + state_.Random() / 2)));
@@ -223,7 +227,9 @@
   profile.max_event_gap = route_->gap_aim;
   profile.elapsed = now - waiting_since_;
   profile.time_remaining = deadline_ - waiting_since_;
-  profile.urgency = urgency_;
+  // Without urgencies all are alike.
+  profile.urgency = state_.features.urgency ? urgency_ : 0;
+  profile.is_retry = attempts_ > 0 || response_started_;
   if (!account_.empty()) {
     profile.account = AccountHash(StableHash(account_.text()));
   }
@@ -536,6 +542,7 @@
   finished_ = true;
   deadline_alarm_.Cancel();
   first_event_alarm_.Cancel();
+  wait_alarm_.Cancel();
   DisconnectFromTarget();
   const absl::Time now = BootNow();
   if (route_ != nullptr) {
--- a/tests/dispatch/engine_play.cc
+++ b/tests/dispatch/engine_play.cc
@@ -31,6 +31,14 @@
   }
 }
 
+EngineSimulation::EngineSimulation(const EngineModel& engine,
+                                   int targets,
+                                   uint64_t seed,
+                                   PriorityOrder::Options order)
+    : EngineSimulation(engine, targets, seed) {
+  order_.emplace(order);
+}
+
 double EngineSimulation::Uniform() {
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
@@ -77,13 +85,31 @@
   request->events_left =
       1 + std::poisson_distribution<int>(kind.mean_event_count - 1)(random_);
   ++results_[kind.name].submitted;
+  Ask(request);
+}
+
+void EngineSimulation::Ask(const std::shared_ptr<Request>& request) {
+  const RequestClass& kind = request->kind;
   RequestProfile profile;
   profile.prompt = request->prompt;
   profile.aim = kind.aim;
   profile.max_event_gap = kind.gap_aim;
+  profile.elapsed = now_ - request->arrived_at;
   profile.time_remaining = absl::Seconds(15);
-  const PlacementResult result =
-      Place(profile, &engine_, Candidates(), now_, Uniform());
+  profile.urgency = kind.urgency;
+  profile.account = kind.account;
+  PlacementResult result;
+  if (order_) {
+    OrderedPlacement ordered =
+        order_->PlaceInOrder(profile, engine_, Candidates(), now_, Uniform());
+    if (ordered.ask_again > absl::ZeroDuration()) {
+      waiting_.emplace(now_ + ordered.ask_again, request);
+      return;
+    }
+    result = std::move(ordered.result);
+  } else {
+    result = Place(profile, &engine_, Candidates(), now_, Uniform());
+  }
   if (!result.decision) {
     ++results_[kind.name].refused;
     return;
@@ -207,9 +233,18 @@
     const auto next = std::min_element(
         targets_.begin(), targets_.end(),
         [](const auto& a, const auto& b) { return a.pass_ends < b.pass_ends; });
-    if (next->pass_ends > until) {
+    const absl::Time ask =
+        waiting_.empty() ? absl::InfiniteFuture() : waiting_.begin()->first;
+    if (std::min(ask, next->pass_ends) > until) {
       break;
     }
+    if (ask < next->pass_ends) {
+      const auto request = std::move(waiting_.begin()->second);
+      waiting_.erase(waiting_.begin());
+      now_ = ask;
+      Ask(request);
+      continue;
+    }
     now_ = next->pass_ends;
     EndPass(*next);
   }
--- a/tests/dispatch/engine_play.h
+++ b/tests/dispatch/engine_play.h
@@ -5,11 +5,13 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "umbertrail/dispatch/placement.h"
+#include "umbertrail/dispatch/priority_order.h"
 
 // Discrete-event simulation of callers and model engines that work in passes,
 // with Place deciding between them. Placement sees only what a load board would
@@ -28,6 +30,10 @@
   int mean_event_count = 1;
   absl::Duration aim;
   absl::Duration gap_aim;
+  // 0 is the most urgent.
+  int urgency = 0;
+  // Identifies the client account that sends the class.
+  AccountHash account = {};
 };
 
 struct ClassResult {
@@ -42,6 +48,11 @@
 class EngineSimulation {
  public:
   EngineSimulation(const EngineModel& engine, int targets, uint64_t seed);
+  // Places by PriorityOrder instead of Place.
+  EngineSimulation(const EngineModel& engine,
+                   int targets,
+                   uint64_t seed,
+                   PriorityOrder::Options order);
 
   // Simulates arrivals of `kinds` for `length`; results accumulate.
   void Run(const std::vector<RequestClass>& kinds, absl::Duration length);
@@ -69,6 +80,8 @@
   };
 
   void Arrive(const RequestClass& kind);
+  // Places a request that has arrived or asks again.
+  void Ask(const std::shared_ptr<Request>& request);
   std::vector<Candidate> Candidates() const;
   std::vector<WorkItem> WorkAt(const Target& target) const;
   void Submit(const std::shared_ptr<Request>& request,
@@ -80,6 +93,9 @@
   double Uniform();
 
   EngineModel engine_;
+  std::optional<PriorityOrder> order_;
+  // Requests that ask again, by time.
+  std::multimap<absl::Time, std::shared_ptr<Request>> waiting_;
   std::vector<Target> targets_;
   std::map<std::string, ClassResult> results_;
   std::mt19937_64 random_;
