--- a/tests/dispatch/engine_play.cc
+++ b/tests/dispatch/engine_play.cc
@@ -38,6 +38,14 @@
   }
 }
 
+EngineSimulation::EngineSimulation(const EngineModel& engine,
+                                   int targets,
+                                   uint64_t seed,
+                                   PriorityOrder::Options order)
+    : EngineSimulation(engine, targets, seed) {
+  order_.emplace(order);
+}
+
 double EngineSimulation::Uniform() {
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
@@ -90,7 +98,7 @@
   OutputQuery query;
   // All classes come by one route.
   query.route = RouteHashOf("route");
-  query.account = AccountHash(request.kind.account);
+  query.account = request.kind.account;
   query.prompt = request.prompt;
   query.hint = request.hint;
   return query;
@@ -138,17 +146,35 @@
                              std::exp(kind.hint_log_stddev * error(random_))));
   }
   ++results_[kind.name].submitted;
+  Ask(request);
+}
+
+void EngineSimulation::Ask(const std::shared_ptr<Request>& request) {
+  const RequestClass& kind = request->kind;
   RequestProfile profile;
   profile.prompt = request->prompt;
   profile.aim = kind.aim;
   profile.max_event_gap = kind.gap_aim;
+  profile.elapsed = now_ - request->arrived_at;
   profile.time_remaining = kind.timeout;
+  profile.urgency = kind.urgency;
+  profile.account = kind.account;
   if (features_.output_estimates) {
     profile.expected_events =
         outputs_.Estimate(QueryOf(*request), engine_, now_).mean;
   }
-  const PlacementResult result =
-      Place(profile, &engine_, Candidates(), now_, Uniform(), features_);
+  PlacementResult result;
+  if (order_) {
+    OrderedPlacement ordered =
+        order_->PlaceInOrder(profile, engine_, Candidates(), now_, Uniform());
+    if (ordered.ask_again > absl::ZeroDuration()) {
+      waiting_.emplace(now_ + ordered.ask_again, request);
+      return;
+    }
+    result = std::move(ordered.result);
+  } else {
+    result = Place(profile, &engine_, Candidates(), now_, Uniform(), features_);
+  }
   if (!result.decision) {
     ++results_[kind.name].refused;
     return;
@@ -276,9 +302,18 @@
     const auto next = std::min_element(
         targets_.begin(), targets_.end(),
         [](const auto& a, const auto& b) { return a.pass_ends < b.pass_ends; });
-    if (next->pass_ends > until) {
+    const absl::Time ask =
+        waiting_.empty() ? absl::InfiniteFuture() : waiting_.begin()->first;
+    if (std::min(ask, next->pass_ends) > until) {
       break;
     }
+    if (ask < next->pass_ends) {
+      const auto request = std::move(waiting_.begin()->second);
+      waiting_.erase(waiting_.begin());
+      now_ = ask;
+      Ask(request);
+      continue;
+    }
     now_ = next->pass_ends;
     EndPass(*next);
   }
--- a/tests/dispatch/engine_play.h
+++ b/tests/dispatch/engine_play.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "umbertrail/dispatch/output_estimator.h"
 #include "umbertrail/dispatch/pause_window.h"
 #include "umbertrail/dispatch/placement.h"
+#include "umbertrail/dispatch/priority_order.h"
 #include "umbertrail/dispatch/target_health.h"
 
 // Discrete-event simulation of callers and model engines that work in passes,
@@ -32,8 +34,10 @@
   int mean_event_count = 1;
   absl::Duration aim;
   absl::Duration gap_aim;
+  // 0 is the most urgent.
+  int urgency = 0;
   // Identifies the client account; zero if there is none.
-  uint64_t account = 0;
+  AccountHash account = {};
   // Standard deviation of the logarithm of the event count; if zero, it has a
   // Poisson distribution.
   double event_log_stddev = 0;
@@ -62,6 +66,11 @@
                    int targets,
                    uint64_t seed,
                    const Features& features = {});
+  // Places by PriorityOrder instead of Place.
+  EngineSimulation(const EngineModel& engine,
+                   int targets,
+                   uint64_t seed,
+                   PriorityOrder::Options order);
 
   void SetSlowdown(Slowdown slowdown) { slowdown_ = std::move(slowdown); }
 
@@ -93,6 +102,8 @@
 
   void Arrive(const RequestClass& kind);
   int EventCount(const RequestClass& kind);
+  // Places a request that has arrived or asks again.
+  void Ask(const std::shared_ptr<Request>& request);
   std::vector<Candidate> Candidates() const;
   std::vector<WorkItem> WorkAt(const Target& target) const;
   void Submit(const std::shared_ptr<Request>& request,
@@ -108,6 +119,9 @@
   double Uniform();
 
   EngineModel engine_;
+  std::optional<PriorityOrder> order_;
+  // Requests that ask again, by time.
+  std::multimap<absl::Time, std::shared_ptr<Request>> waiting_;
   std::vector<Target> targets_;
   std::map<std::string, ClassResult> results_;
   std::mt19937_64 random_;
