Targets' decode speed from the pauses between events

Homes took every target for one that decodes as modelled; only the prefill's slowdown was learnt. An instance reports its typical pauses to the target's homes (new last fields of PeerOutcome), as these know all work there. Pauses of a client that reads slowly don't count. Outcomes of targets without a change are reported with the heartbeat; they were dropped by the next report of another target.

--- a/packages/dispatch/include/umbertrail/dispatch/target_health.h
+++ b/packages/dispatch/include/umbertrail/dispatch/target_health.h
@@ -12,10 +12,6 @@
   int first_events = 0;
   // Mean ratio of measured to predicted times to first event.
   double slowdown = 1;
-  // Windows of pauses between events, and the mean of their ratios to the
-  // modelled pass; see PauseRatio.
-  int pause_windows = 0;
-  double decode_slowdown = 1;
 };
 
 // Exponentially decayed statistics of a target's recent requests, as seen by
--- a/packages/dispatch/src/target_health.cc
+++ b/packages/dispatch/src/target_health.cc
@@ -97,7 +97,6 @@
   failures_ += std::clamp(outcomes.failures, 0, kMaxOutcomesPerMessage);
   UpdateSlowdown(outcomes.slowdown,
                  std::clamp(outcomes.first_events, 0, kMaxOutcomesPerMessage));
-  RecordPauses(outcomes.decode_slowdown, outcomes.pause_windows, now);
 }
 
 double TargetHealth::FailureRate(absl::Time now) const {
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -10,6 +10,7 @@
 #include "platform/request_codec.h"
 #include "umbertrail/dispatch/admission.h"
 #include "umbertrail/dispatch/output_estimator.h"
+#include "umbertrail/dispatch/pause_window.h"
 #include "umbertrail/dispatch/response_end.h"
 #include "umbertrail/front/memory_reservation.h"
 #include "umbertrail/front/placer.h"
@@ -89,6 +90,8 @@
   dispatch::OutputQuery OutputQueryForRequest() const;
   // Further events that the stream is expected to have; zero if unknown.
   double ExpectedEvents(absl::Time now) const;
+  // Learns the target's decode speed from a pause between reads of events.
+  void RecordPause(absl::Duration pause, absl::Time now);
   // Learns from a stream that was received completely.
   void LearnOutput(absl::Time now);
   // Requests a placement among the targets not tried yet. `callback` runs
@@ -206,6 +209,13 @@
   absl::Duration predicted_first_event_;
   // Of the whole stream, as of the current attempt; zero if unknown.
   double expected_events_ = 0;
+  // Pauses between events of the current attempt.
+  dispatch::PauseWindow pauses_;
+  // Reading was paused since the last event, so the pause after it shows
+  // nothing of the target.
+  bool reading_was_paused_ = false;
+  // Events until the last read.
+  int events_until_read_ = 0;
   ResponseMode response_mode_ = ResponseMode::kUndecided;
   // The target stated the length of its stream, and so where it ends.
   bool has_stated_length_ = false;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -47,6 +47,9 @@
   int first_events = 0;
   // Sum of the ratios of actual to predicted time to first event.
   double latency_ratio_sum = 0;
+  // Windows of pauses between events, and the sum of their typical pauses.
+  int pause_windows = 0;
+  absl::Duration pause_sum;
 };
 
 // State shared by all requests of an instance. Event loop thread only.
@@ -92,6 +95,17 @@
   void RecordFirstEvent(const TargetId& target,
                         absl::Duration predicted,
                         absl::Duration actual);
+  // Records the mean typical pause of `windows` PauseWindows at a target, and
+  // derives its decode speed from the work known here.
+  void RecordPauses(const TargetId& target,
+                    absl::Duration pause,
+                    int64_t windows,
+                    absl::Time now);
+  // As RecordPauses, for one window of this instance, which is also reported to
+  // the target's homes.
+  void RecordOwnPause(const TargetId& target,
+                      absl::Duration pause,
+                      absl::Time now);
   // A target sent bytes or accepted a connection.
   void RecordContact(absl::Time now);
   // Opens connections to some targets to find out whether the links to them are
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -219,6 +219,8 @@
          static_cast<int>(outcome.failures),
          static_cast<int>(outcome.first_events), outcome.latency_ratio},
         now);
+    state_.RecordPauses(target, absl::Milliseconds(outcome.pause_ms),
+                        outcome.pause_windows, now);
   }
 }
 
@@ -371,6 +373,11 @@
       wire.latency_ratio = static_cast<float>(outcomes.latency_ratio_sum /
                                               outcomes.first_events);
     }
+    if (outcomes.pause_windows > 0) {
+      wire.pause_windows = static_cast<uint32_t>(outcomes.pause_windows);
+      wire.pause_ms = static_cast<float>(absl::ToDoubleMilliseconds(
+          outcomes.pause_sum / outcomes.pause_windows));
+    }
     message->outcomes.push_back(std::move(wire));
   }
 }
@@ -468,12 +475,16 @@
     PeerMessage message = NewMessage();
     message.full_report = true;
     AddLoadReport(targets, &message, now);
+    if (!small_fleet) {
+      AddOutcomes(targets, &message);
+    }
     if (gossip_partners.count(to) > 0) {
       message.wants_gossip = !small_fleet;
       AddGossip(&message, now);
     }
     Send(to, message);
   }
+  state_.unreported_outcomes.clear();
   heartbeat_.Set(kHeartbeat, shared_from_this(), &PeerLink::Heartbeat);
 }
 
@@ -492,8 +503,8 @@
   const absl::Time now = BootNow();
   const bool small_fleet =
       dispatch::AllInstancesAreHomes(state_.live_instances);
-  const TargetsByHome by_home =
-      GroupByHome(state_.board.TakeChangedTargets(), now);
+  const std::vector<TargetId> changed = state_.board.TakeChangedTargets();
+  const TargetsByHome by_home = GroupByHome(changed, now);
   for (const auto& [to, targets] : by_home) {
     PeerMessage message = NewMessage();
     AddLoadReport(targets, &message, now);
@@ -502,7 +513,10 @@
     }
     Send(to, message);
   }
-  state_.unreported_outcomes.clear();
+  // Others have had pauses, but no change; the next heartbeat reports them.
+  for (const TargetId& target : changed) {
+    state_.unreported_outcomes.erase(target);
+  }
 }
 
 void PeerLink::PublishCrashes() {
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -173,6 +173,8 @@
   ++attempts_;
   response_mode_ = ResponseMode::kUndecided;
   target_sent_events_ = false;
+  pauses_.Discard();
+  reading_was_paused_ = false;
   not_executed_ = false;
   buffered_body_.clear();
   discarded_bytes_ = 0;
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -195,6 +195,7 @@
   }
   if (client_->pending_bytes() > kMaxPendingBytes && connection_) {
     connection_->SetReadingPaused(true);
+    reading_was_paused_ = true;
   }
 }
 
@@ -242,6 +243,7 @@
 
 void Relay::RecordForwardedEvent() {
   const absl::Time now = BootNow();
+  RecordPause(now - last_event_at_, now);
   if (time_to_first_event_ == absl::InfiniteDuration()) {
     time_to_first_event_ = now - started_;
   } else {
--- a/packages/front/src/relay_output.cc
+++ b/packages/front/src/relay_output.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "umbertrail/base/hash.h"
 #include "umbertrail/dispatch/output_estimator.h"
 #include "umbertrail/front/relay.h"
@@ -28,6 +30,20 @@
   return dispatch::RemainingEvents(estimate.mean, framer_.event_count());
 }
 
+void Relay::RecordPause(absl::Duration pause, absl::Time now) {
+  // Events that were received late arrive together.
+  const int events = std::max(1, framer_.event_count() - events_until_read_);
+  events_until_read_ = framer_.event_count();
+  if (reading_was_paused_ || !target_sent_events_ || !peer_.empty()) {
+    reading_was_paused_ = false;
+    pauses_.Discard();
+    return;
+  }
+  if (const auto typical = pauses_.Add(pause / events)) {
+    state_.RecordOwnPause(target_, *typical, now);
+  }
+}
+
 void Relay::LearnOutput(absl::Time now) {
   // A stream that the client resumed is only a part of its output.
   if (response_mode_ != ResponseMode::kStream || service_ == nullptr ||
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -147,6 +147,7 @@
     candidate.cold = now < view.ColdUntil(id);
     candidate.failure_rate = seen.FailureRate(now);
     candidate.slowdown = seen.slowdown();
+    candidate.decode_slowdown = seen.DecodeSlowdown(now);
     candidate.rate_wait =
         rates[id].MaySend(now, fleet_rate, sharers)
             ? TimeToSend(entry, now)
--- a/tests/front/peer_message_test.cc
+++ b/tests/front/peer_message_test.cc
@@ -22,7 +22,8 @@
   reply.id = 6;
   reply.target = "t5";
   message.placement_replies = {reply};
-  message.outcomes = {{"t1", 3, 1, 2, 1.5F}};
+  message.outcomes = {{"t1", 3, 1, 2, 1.5F, 4, 61.5F}};
+  message.route_outputs = {{13, 25, -120, 30, 4, 5, 6}};
   message.targets = {{"t1", {{1500, 3900, 1, 250, 2.5F, 4000}}}, {"t2", {}}};
   message.crashes = {{"t3", 7, 20, {9}, {10, 11}}};
   message.answers = {{12, 30}};
@@ -45,6 +46,10 @@
         std::vector<std::string>{"t4"});
   CHECK(message.placement_replies.front().target == "t5");
   CHECK(message.outcomes.front().first_events == 2);
+  CHECK(message.outcomes.front().pause_windows == 4);
+  CHECK(message.outcomes.front().pause_ms == 61.5F);
+  REQUIRE(message.route_outputs.size() == 1);
+  CHECK(message.route_outputs.front().events_mean == -120);
   CHECK(ValueOf(decoded).trailer.echo_incarnation == 9);
   REQUIRE(message.targets.size() == 2);
   CHECK(message.targets[0].work.front().prefill_ms == 3900);
@@ -62,6 +67,34 @@
   CHECK_FALSE(IsOk(DecodePeerDatagram(EncodePeerMessage(SampleMessage()))));
 }
 
+// Packs the first `kept` fields of a message, as an older build does.
+std::string EncodeOlderMessage(const PeerMessage& message, uint32_t kept) {
+  const std::string bytes = EncodePeerMessage(message);
+  const msgpack::object_handle unpacked =
+      msgpack::unpack(bytes.data(), bytes.size());
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(kept);
+  for (uint32_t i = 0; i < kept; ++i) {
+    packer.pack(unpacked.get().via.array.ptr[i]);
+  }
+  return std::string(buffer.data(), buffer.size());
+}
+
+// Guards against a build that fails to read the messages of an older one, which
+// end before the fields that were added, while instances are replaced one by
+// one.
+TEST_CASE("a message of an older build decodes") {
+  constexpr uint32_t kFieldsBeforeRouteOutputs = 23;
+  const auto decoded = DecodePeerDatagram(
+      EncodeOlderMessage(SampleMessage(), kFieldsBeforeRouteOutputs) +
+      EncodePeerTrailer({11, 22, 9, -33, 44}));
+  REQUIRE(IsOk(decoded));
+  const PeerMessage& message = ValueOf(decoded).message;
+  CHECK(message.placement_replies.front().target == "t5");
+  CHECK(message.route_outputs.empty());
+}
+
 TEST_CASE("corrupted datagrams never crash the decoder") {
   CHECK(rc::check([] {
     std::string bytes = EncodePeerMessage(SampleMessage()) +
--- a/tests/front/stream_framer_test.cc
+++ b/tests/front/stream_framer_test.cc
@@ -25,6 +25,20 @@
   CHECK(framer.last_event_id() == "7");
 }
 
+// Guards against lengths of streams that count comments or blank lines.
+TEST_CASE("events with data are counted") {
+  StreamFramer framer;
+  framer.Add("id: 1\ndata: a\n\n\n: comment\n\nid: 2\r\ndata: b\r\n\r\n");
+  framer.TakeCompleteEvents();
+  CHECK(framer.event_count() == 2);
+  framer.Add("data: c\n");
+  framer.TakeCompleteEvents();
+  CHECK(framer.event_count() == 2);
+  framer.Add("\n");
+  framer.TakeCompleteEvents();
+  CHECK(framer.event_count() == 3);
+}
+
 TEST_CASE("events are the same when bytes arrive one by one") {
   const std::string stream = "id: 1\ndata: a\n\nid: 2\n\nid:3\ndata: c\n\n";
   StreamFramer framer;
