--- a/packages/dispatch/src/output_estimator.cc
+++ b/packages/dispatch/src/output_estimator.cc
@@ -43,8 +43,9 @@
 constexpr double kMaxLogEvents = 14;
 // Quantile of the normal distribution for the 90th percentile.
 constexpr double kHighQuantile = 1.2816;
-// Part of its length that a stream past its estimate is expected to continue.
-constexpr double kTailProportion = 0.25;
+// Part of its length that a stream past its estimate is expected to continue:
+// the mean residual of a Pareto distribution with exponent 3.
+constexpr double kTailProportion = 0.5;
 
 int LengthClassOf(Tokens prompt) {
   return static_cast<int>(std::upper_bound(kLengthClasses.begin(),
