Placement order: load forecast, refusal of late requests, load plays

Cause: a request that the queue ahead makes late was placed all the same, and made those after it late. Whether a request may wait was decided from the time of one engine, which says nothing of prompts that need several.

Change: such a request is refused at once with the time at which a new one would be on time, unless an engine is free or it is a retry. Room is forecast from the prefills and streams that will have ended. Arrivals in plays no longer depend on how requests are placed.

--- a/packages/dispatch/include/umbertrail/dispatch/priority_order.h
+++ b/packages/dispatch/include/umbertrail/dispatch/priority_order.h
@@ -39,8 +39,7 @@
   bool waited = false;
   // Waiting requests that go before it.
   size_t ahead = 0;
-  // Time until room is expected, and the longest time that it may still wait.
-  absl::Duration expected_wait;
+  // The longest time that it may still wait; room is expected within it.
   absl::Duration max_wait;
   FairShares::Standing standing;
 };
--- a/packages/dispatch/src/priority_order.cc
+++ b/packages/dispatch/src/priority_order.cc
@@ -7,24 +7,23 @@
 #include "absl/strings/str_cat.h"
 #include "umbertrail/base/hash.h"
 #include "umbertrail/dispatch/engine_time.h"
+#include "umbertrail/dispatch/load_forecast.h"
 
 namespace umbertrail::dispatch {
 namespace {
 
 // Part of its client's time that a request may wait.
 constexpr int kMaxWaitDivisor = 3;
-// Waiting requests ask again at least this often, as room may come early, and
-// no more often than this, for the cost of the messages.
-constexpr absl::Duration kMaxAskInterval = absl::Milliseconds(250);
-constexpr absl::Duration kMinAskInterval = absl::Milliseconds(50);
+// Room may come earlier than expected, so waiting requests ask again soon, but
+// no sooner than the messages are worth.
+constexpr absl::Duration kAskInterval = absl::Milliseconds(100);
+constexpr absl::Duration kMinAskInterval = absl::Milliseconds(30);
 // A request that asks again may be late by this; covers a search over several
 // homes of which one doesn't answer.
 constexpr absl::Duration kAskGrace = absl::Milliseconds(150);
 // Bounds of Retry-After.
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(200);
 constexpr absl::Duration kMaxRetryAfter = absl::Seconds(3);
-// Place refuses if a first event comes after this part of the client's time.
-constexpr double kUsableTimeFraction = 0.8;
 
 absl::Duration ClientTime(const RequestProfile& request) {
   return std::min(request.time_remaining,
@@ -42,29 +41,31 @@
                                  absl::ToInt64Milliseconds(request.aim)));
 }
 
-// Time until a request that nothing can serve now may be served.
-absl::Duration TimeToRoom(const RequestProfile& request,
-                          const PlacementResult& result) {
-  const absl::Duration usable =
-      (ClientTime(request) - request.elapsed) * kUsableTimeFraction;
-  if (result.min_time_to_first_event == absl::InfiniteDuration() ||
-      result.min_time_to_first_event <= usable) {
-    return result.retry_after;
-  }
-  // The backlog shrinks by the time that passes, but so does the time left.
-  return (result.min_time_to_first_event - usable) / (1 - kUsableTimeFraction);
+// Whether engines are expected to have room for a request after that time.
+bool WillHaveRoom(RequestProfile request,
+                  const EngineModel& engine,
+                  std::vector<Candidate> candidates,
+                  absl::Time now,
+                  absl::Duration after) {
+  request.elapsed += after;
+  return Place(request, &engine,
+               ForecastLoad(std::move(candidates), engine, now, after),
+               now + after, 0)
+      .decision.has_value();
 }
 
-// Whether any engine could serve it in its client's time if all were idle.
-bool IsServableAtAll(const RequestProfile& request,
-                     const EngineModel& engine,
-                     std::vector<Candidate> candidates,
-                     absl::Time now) {
-  for (Candidate& candidate : candidates) {
-    candidate.work.clear();
-    candidate.rate_wait = absl::ZeroDuration();
+// The longest time that a request may still wait.
+absl::Duration MaxWait(const RequestProfile& request,
+                       const PlacementResult& result) {
+  const absl::Duration wait =
+      ClientTime(request) / kMaxWaitDivisor - request.elapsed;
+  if (!result.decision ||
+      !IsOnTime(request, result.decision->time_to_first_event)) {
+    return wait;
   }
-  return Place(request, &engine, candidates, now, 0).decision.has_value();
+  // Giving way must not make it late.
+  return std::min(wait, request.aim - request.elapsed -
+                            result.decision->time_to_first_event);
 }
 
 // First event on idle engines.
@@ -173,11 +174,13 @@
   if (options_.fair_shares) {
     RecordDemand(request, engine, placed);
   }
-  if (placed.reason != YieldReason::kNone) {
-    const bool may_wait =
-        options_.waiting_line && placed.reason != YieldReason::kLate &&
-        (placed.result.decision ||
-         IsServableAtAll(request, engine, std::move(candidates), now));
+  if (placed.reason != YieldReason::kNone &&
+      placed.reason != YieldReason::kLate && options_.waiting_line) {
+    placed.max_wait = MaxWait(request, placed.result);
+    const bool may_wait = placed.max_wait >= kMinAskInterval &&
+                          (placed.result.decision ||
+                           WillHaveRoom(request, engine, std::move(candidates),
+                                        now, placed.max_wait));
     if (may_wait && Wait(request, engine, {key, rank, now, {}}, &placed)) {
       return placed;
     }
@@ -216,16 +219,16 @@
   }
   const PlacementDecision& decision = *placed.result.decision;
   const bool is_free = IsFree(decision.target, candidates, now);
+  if (options_.waiting_line && can_be_on_time && !is_free &&
+      !IsOnTime(request, decision.time_to_first_event)) {
+    return YieldReason::kLate;
+  }
   if (placed.standing.above_share && !is_free) {
     return YieldReason::kShare;
   }
   if (options_.waiting_line && decision.cost_to_more_urgent > 0) {
     return YieldReason::kMoreUrgent;
   }
-  if (options_.waiting_line && can_be_on_time && !is_free &&
-      !IsOnTime(request, decision.time_to_first_event)) {
-    return YieldReason::kLate;
-  }
   return YieldReason::kNone;
 }
 
@@ -234,22 +237,8 @@
                          WaitingRequest entry,
                          OrderedPlacement* placed) {
   const absl::Time now = entry.lapses_at;
+  const absl::Duration ask_again = std::min(placed->max_wait, kAskInterval);
   const auto& decision = placed->result.decision;
-  placed->max_wait = ClientTime(request) / kMaxWaitDivisor - request.elapsed;
-  placed->expected_wait = kMinAskInterval;
-  if (!decision) {
-    placed->expected_wait = TimeToRoom(request, placed->result);
-  } else if (IsOnTime(request, decision->time_to_first_event)) {
-    // Giving way must not make it late.
-    placed->max_wait =
-        std::min(placed->max_wait,
-                 request.aim - request.elapsed - decision->time_to_first_event);
-  }
-  if (placed->expected_wait > placed->max_wait) {
-    return false;
-  }
-  const absl::Duration ask_again =
-      std::clamp(placed->expected_wait, kMinAskInterval, kMaxAskInterval);
   entry.lapses_at = now + ask_again + kAskGrace;
   if (decision) {
     entry.room = WorkItemsFor(request, &engine, *decision, now);
@@ -260,7 +249,7 @@
     return false;
   }
   placed->ask_again = ask_again;
-  placed->result.retry_after = std::max(placed->expected_wait, ask_again);
+  placed->result.retry_after = ask_again;
   placed->result.decision.reset();
   return true;
 }
--- a/tests/dispatch/engine_play.cc
+++ b/tests/dispatch/engine_play.cc
@@ -23,7 +23,7 @@
 EngineSimulation::EngineSimulation(const EngineModel& engine,
                                    int targets,
                                    uint64_t seed)
-    : engine_(engine), random_(seed) {
+    : engine_(engine), random_(seed), tie_random_(seed) {
   for (int i = 0; i < targets; ++i) {
     Target target;
     target.id = std::to_string(i);
@@ -43,6 +43,10 @@
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
 
+double EngineSimulation::Tie() {
+  return std::uniform_real_distribution<double>(0, 1)(tie_random_);
+}
+
 std::vector<WorkItem> EngineSimulation::WorkAt(const Target& target) const {
   std::vector<WorkItem> work;
   for (const auto& request : target.decoding) {
@@ -101,14 +105,14 @@
   PlacementResult result;
   if (order_) {
     OrderedPlacement ordered =
-        order_->PlaceInOrder(profile, engine_, Candidates(), now_, Uniform());
+        order_->PlaceInOrder(profile, engine_, Candidates(), now_, Tie());
     if (ordered.ask_again > absl::ZeroDuration()) {
       waiting_.emplace(now_ + ordered.ask_again, request);
       return;
     }
     result = std::move(ordered.result);
   } else {
-    result = Place(profile, &engine_, Candidates(), now_, Uniform());
+    result = Place(profile, &engine_, Candidates(), now_, Tie());
   }
   if (!result.decision) {
     ++results_[kind.name].refused;
--- a/tests/dispatch/engine_play.h
+++ b/tests/dispatch/engine_play.h
@@ -91,6 +91,7 @@
   void EmitEvent(const std::shared_ptr<Request>& request);
   void RunUntil(absl::Time until);
   double Uniform();
+  double Tie();
 
   EngineModel engine_;
   std::optional<PriorityOrder> order_;
@@ -98,7 +99,9 @@
   std::multimap<absl::Time, std::shared_ptr<Request>> waiting_;
   std::vector<Target> targets_;
   std::map<std::string, ClassResult> results_;
+  // Arrivals; apart from ties, so that all ways to place get the same ones.
   std::mt19937_64 random_;
+  std::mt19937_64 tie_random_;
   absl::Time now_ = absl::FromUnixSeconds(1000);
 };
 
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -95,6 +95,27 @@
   CHECK(TargetOf(PlaceAt(LongRequest(), {writing, fewer})) == "fewer");
 }
 
+// Guards against a long prompt that pauses urgent streams where it could pause
+// others.
+TEST_CASE("a prompt pauses less urgent streams rather than more urgent ones") {
+  Candidate urgent = Idle("urgent");
+  urgent.work.assign(3, Decoding(absl::Milliseconds(250)));
+  Candidate patient = Idle("patient");
+  patient.work = urgent.work;
+  for (WorkItem& item : patient.work) {
+    item.urgency = 4;
+  }
+  RequestProfile request = LongRequest();
+  request.urgency = 2;
+  const auto result = PlaceAt(request, {urgent, patient});
+  CHECK(TargetOf(result) == "patient");
+  const auto forced = PlaceAt(request, {urgent});
+  REQUIRE(forced.decision);
+  CHECK(forced.decision->cost_to_more_urgent > 0);
+  request.urgency = 0;
+  CHECK(PlaceAt(request, {urgent}).decision->cost_to_more_urgent == 0);
+}
+
 TEST_CASE("a prompt that one target can't prefill in time gets helpers") {
   const auto alone = PlaceAt(LongRequest(), {Idle("a")});
   REQUIRE(alone.decision);
--- a/tests/dispatch/urgency_test.cc
+++ b/tests/dispatch/urgency_test.cc
@@ -34,5 +34,17 @@
   CHECK(UrgencyOf(RouteOfPriority(40), nullptr) == kLeastUrgent);
 }
 
+// Guards against placements among requests of one urgency that change with what
+// that urgency is, and against one stream that outweighs all others.
+TEST_CASE("urgency weighs relative to the request that is placed") {
+  for (int urgency = kMostUrgent; urgency <= kLeastUrgent; ++urgency) {
+    CHECK(UrgencyWeight(urgency, urgency) == 1);
+  }
+  CHECK(UrgencyWeight(1, 2) == 2);
+  CHECK(UrgencyWeight(2, 1) == 0.5);
+  CHECK(UrgencyWeight(kMostUrgent, kLeastUrgent) == 8);
+  CHECK(UrgencyWeight(kLeastUrgent, kMostUrgent) == 0.125);
+}
+
 }  // namespace
 }  // namespace umbertrail::dispatch
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <limits>
+#include <string>
+#include <tuple>
+#include <vector>
 
 namespace umbertrail::front {
 namespace {
@@ -145,6 +148,28 @@
   CHECK(decoded.result.min_time_to_first_event == absl::Milliseconds(1900));
 }
 
+// Guards against a home and a requester of which one is an older build: its
+// arrays end before the fields by which requests wait.
+TEST_CASE("waiting survives encoding, and older builds know nothing of it") {
+  PlacementReply reply;
+  reply.candidate_count = 3;
+  reply.ask_again = absl::Milliseconds(120);
+  CHECK(FromWire(ToWire(9, reply)).ask_again == reply.ask_again);
+  PlacementRequest request;
+  request.profile.is_retry = true;
+  CHECK(FromWire(ToWire(9, request), DataCentreId()).profile.is_retry);
+
+  msgpack::sbuffer bytes;
+  msgpack::pack(
+      bytes, std::make_tuple(9U, 3U, std::string(), std::vector<std::string>(),
+                             0U, 0U, 0.0F, 700U, -1, false));
+  const auto older = msgpack::unpack(bytes.data(), bytes.size())
+                         .get()
+                         .as<PeerPlacementReply>();
+  CHECK(FromWire(older).ask_again == absl::ZeroDuration());
+  CHECK(FromWire(older).result.retry_after == absl::Milliseconds(700));
+}
+
 TEST_CASE("members are sent with the time since they were last heard") {
   dispatch::Member member{InstanceId("10.1.0.7"), DataCentreId("east"), 0.12,
                           kNow - absl::Milliseconds(900), false};
--- a/tests/front/placer_test.cc
+++ b/tests/front/placer_test.cc
@@ -105,6 +105,26 @@
     reply.result.decision->cost = cost;
     placer_->HandleReply(sent_.at(index).home, sent_.at(index).id, reply);
   }
+  // Replies to request `index` that it is to be asked again, or refused if
+  // `ask_again` is zero.
+  void ReplyToWait(size_t index, absl::Duration ask_again) {
+    PlacementReply reply;
+    reply.candidate_count = 10;
+    reply.ask_again = ask_again;
+    placer_->HandleReply(sent_.at(index).home, sent_.at(index).id, reply);
+  }
+  // Gives every target in `data_centre` so much to prefill.
+  void Occupy(const std::string& data_centre, absl::Duration prefill_time) {
+    dispatch::WorkItem item;
+    item.sent_at = BootNow();
+    item.prefill_time = prefill_time;
+    item.prefilling = true;
+    for (const auto& [id, entry] : state_.view.targets()) {
+      if (entry.data_centre.text() == data_centre) {
+        state_.board.SetPeerLoad(InstanceId("10.0.0.9"), id, {item});
+      }
+    }
+  }
   void RunUntil(const std::function<bool()>& done) {
     while (!done()) {
       loop_.run_one();
@@ -205,6 +225,79 @@
   CHECK(one.found() == "east1");
 }
 
+// Guards against a request that is refused because one of several homes has no
+// room, and against one that waits although another home has a place.
+TEST_CASE("a request waits if a home says so and no other has a place") {
+  PlacerFixture one(40, 20);
+  one.Place(5000);
+  one.ReplyToWait(0, absl::Milliseconds(100));
+  REQUIRE(one.sent().size() == 2);
+  one.ReplyToWait(1, absl::ZeroDuration());
+  CHECK(one.completed() == 1);
+  CHECK_FALSE(one.reply().result.decision);
+  CHECK(one.reply().ask_again == absl::Milliseconds(100));
+  one.Place(5000);
+  one.ReplyToWait(2, absl::Milliseconds(100));
+  one.Reply(3, "west3", 0.9);
+  CHECK(one.completed() == 2);
+  CHECK(one.found() == "west3");
+}
+
+// Guards against a home that is lost while it keeps a request waiting: another
+// one, or the own view, decides when the requester asks again.
+TEST_CASE("a request that waits isn't lost with the home that kept it") {
+  PlacerFixture one(40, 20);
+  one.Place(5000);
+  one.ReplyToWait(0, absl::Milliseconds(100));
+  one.ReplyToWait(1, absl::Milliseconds(100));
+  REQUIRE(one.completed() == 1);
+  const InstanceId lost = one.sent()[0].home;
+  one.Place(5000);
+  one.RunUntil([&] { return one.completed() == 2; });
+  CHECK(one.sent().size() > 3);
+  CHECK(one.sent()[3].home != lost);
+  CHECK_FALSE(one.found().empty());
+}
+
+TEST_CASE(
+    "a home refuses what its queue makes late, but places what was sent") {
+  PlacerFixture home(40, 20);
+  home.Occupy("east", absl::Milliseconds(800));
+  PlacementRequest request = PlacerFixture::RequestFor(5000);
+  request.shard = {kService, DataCentreId("east"), 1, 0};
+  const InstanceId requester("10.0.0.1");
+  const auto refused = home.placer().HandleRequest(requester, request);
+  CHECK_FALSE(refused.result.decision);
+  CHECK(refused.ask_again == absl::ZeroDuration());
+  CHECK(refused.result.retry_after > absl::ZeroDuration());
+  request.profile.is_retry = true;
+  CHECK(home.placer().HandleRequest(requester, request).result.decision);
+}
+
+TEST_CASE("a home without the features places as they come") {
+  PlacerFixture home(40, 20);
+  home.state().features.waiting_line = false;
+  home.state().features.fair_shares = false;
+  home.Occupy("east", absl::Milliseconds(800));
+  PlacementRequest request = PlacerFixture::RequestFor(5000);
+  request.shard = {kService, DataCentreId("east"), 1, 0};
+  CHECK(home.placer()
+            .HandleRequest(InstanceId("10.0.0.1"), request)
+            .result.decision);
+}
+
+TEST_CASE("a home tells who needs several busy targets to ask again") {
+  PlacerFixture home(40, 20);
+  home.Occupy("east", absl::Milliseconds(700));
+  PlacementRequest request = PlacerFixture::RequestFor(500000);
+  request.shard = {kService, DataCentreId("east"), 1, 0};
+  request.profile.time_remaining = absl::Seconds(18);
+  const auto waits =
+      home.placer().HandleRequest(InstanceId("10.0.0.1"), request);
+  CHECK_FALSE(waits.result.decision);
+  CHECK(waits.ask_again > absl::ZeroDuration());
+}
+
 TEST_CASE("an offered target unknown to this instance is not used") {
   PlacerFixture one(40, 20);
   one.Place(5000);
