--- a/tests/dispatch/engine_play.cc
+++ b/tests/dispatch/engine_play.cc
@@ -29,6 +29,7 @@
                                    const Features& features)
     : engine_(engine),
       random_(seed),
+      tie_random_(seed),
       features_(features),
       slowdown_([](size_t /*target*/, absl::Time /*now*/) { return 1.0; }) {
   for (int i = 0; i < targets; ++i) {
@@ -50,6 +51,10 @@
   return std::uniform_real_distribution<double>(0, 1)(random_);
 }
 
+double EngineSimulation::Tie() {
+  return std::uniform_real_distribution<double>(0, 1)(tie_random_);
+}
+
 std::vector<WorkItem> EngineSimulation::WorkAt(const Target& target) const {
   std::vector<WorkItem> work;
   for (const auto& request : target.decoding) {
@@ -166,14 +171,14 @@
   PlacementResult result;
   if (order_) {
     OrderedPlacement ordered =
-        order_->PlaceInOrder(profile, engine_, Candidates(), now_, Uniform());
+        order_->PlaceInOrder(profile, engine_, Candidates(), now_, Tie());
     if (ordered.ask_again > absl::ZeroDuration()) {
       waiting_.emplace(now_ + ordered.ask_again, request);
       return;
     }
     result = std::move(ordered.result);
   } else {
-    result = Place(profile, &engine_, Candidates(), now_, Uniform(), features_);
+    result = Place(profile, &engine_, Candidates(), now_, Tie(), features_);
   }
   if (!result.decision) {
     ++results_[kind.name].refused;
--- a/tests/dispatch/engine_play.h
+++ b/tests/dispatch/engine_play.h
@@ -117,6 +117,7 @@
   OutputQuery QueryOf(const Request& request) const;
   void RunUntil(absl::Time until);
   double Uniform();
+  double Tie();
 
   EngineModel engine_;
   std::optional<PriorityOrder> order_;
@@ -124,7 +125,9 @@
   std::multimap<absl::Time, std::shared_ptr<Request>> waiting_;
   std::vector<Target> targets_;
   std::map<std::string, ClassResult> results_;
+  // Arrivals; apart from ties, so that all ways to place get the same ones.
   std::mt19937_64 random_;
+  std::mt19937_64 tie_random_;
   Features features_;
   OutputEstimator outputs_;
   Slowdown slowdown_;
