Shards are searched in the order of the capacity that they report

Cause: a search asked one shard of its own data centre and two others at random, the own data centre's first, so that requests were rejected while targets of shards that weren't among the three were idle. Change: a placement reply states the shard's capacity (appended field; without it a message decodes, and older builds ignore it). Tests: eight shards, one idle target in any of them, found in each of 80 first and 80 second searches; the former order, behind the switch, finds it in none of five where it is in the other data centre.

--- a/packages/front/include/umbertrail/front/placer.h
+++ b/packages/front/include/umbertrail/front/placer.h
@@ -5,9 +5,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "umbertrail/dispatch/placement.h"
+#include "umbertrail/dispatch/shard_directory.h"
 #include "umbertrail/dispatch/shards.h"
 #include "umbertrail/front/state.h"
 
@@ -31,13 +33,19 @@
   // Number of targets considered.
   size_t candidate_count = 0;
   dispatch::PlacementResult result;
+  // See dispatch::ShardCapacity; nothing if the home's build doesn't state it,
+  // or in a fleet where no home is asked.
+  std::optional<double> shard_capacity;
 };
 
 // Places requests on targets: locally where this instance is a home of the
 // shard (one of the instances that track its load), otherwise by asking a home.
-// One nearby shard is asked first, others only if its placement isn't good
-// enough or the prompt is long. A home that does not reply within milliseconds
-// is skipped; after the last one, placement falls back to local state.
+// One shard is asked first, others only if its placement isn't good enough or
+// the prompt is long, in the order of the capacity that they last reported
+// (ShardDirectory). Without a placement on time the search goes on while
+// capacity is expected anywhere, to a bounded number of shards. A home that
+// does not reply within milliseconds is skipped; after the last one, placement
+// falls back to local state.
 class Placer : public std::enable_shared_from_this<Placer> {
  public:
   // Sends a placement request with that id to an instance.
@@ -66,9 +74,15 @@
 
   // Places by local state alone.
   PlacementReply PlaceLocally(const PlacementRequest& request);
+  // The shards of a service in the order in which to ask them.
+  std::vector<dispatch::RankedShard> ShardsInOrder(const ServiceId& service);
+  // Takes note of the capacity that a home of `shard` replied with.
+  void RecordCapacity(const dispatch::Shard& shard,
+                      const PlacementReply& reply);
 
   State& state_;
   SendRequest send_;
+  dispatch::ShardDirectory directory_;
   uint64_t next_id_ = 1;
   std::map<uint64_t, std::weak_ptr<ShardRequest>> pending_;
 };
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -308,6 +308,9 @@
     wire.earliest_first_event_ms =
         ToMillis(reply.result.min_time_to_first_event);
   }
+  if (reply.shard_capacity) {
+    wire.capacity = static_cast<float>(*reply.shard_capacity);
+  }
   return wire;
 }
 
@@ -330,6 +333,9 @@
     reply.result.min_time_to_first_event =
         absl::Milliseconds(wire.earliest_first_event_ms);
   }
+  if (wire.capacity >= 0) {
+    reply.shard_capacity = wire.capacity;
+  }
   return reply;
 }
 
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -149,6 +149,8 @@
   int64_t earliest_first_event_ms = -1;
   // The request is charged to the rate limit that the target states.
   bool charged_to_limit = false;
+  // Capacity of the shard in idle targets; negative: not stated.
+  float capacity = -1;
   MSGPACK_DEFINE_ARRAY(id,
                        candidates,
                        target,
@@ -158,7 +160,8 @@
                        cost,
                        retry_after_ms,
                        earliest_first_event_ms,
-                       charged_to_limit);
+                       charged_to_limit,
+                       capacity);
 };
 
 // A target that announced its departure, identified by its birth time.
--- a/packages/front/src/placer.cc
+++ b/packages/front/src/placer.cc
@@ -14,8 +14,10 @@
 constexpr int kMaxHomesAsked = 2;
 // An offered place is held until the requester reports its work, or this long.
 constexpr absl::Duration kHoldDuration = absl::Milliseconds(60);
-// Shards asked beside the first.
+// Shards asked beside the first, and in each later round of a search.
 constexpr size_t kAdditionalShards = 2;
+// Shards asked for one request at most, whatever the fleet's size.
+constexpr size_t kMaxShardsAsked = 9;
 
 bool IsBetter(const PlacementReply& reply, const PlacementReply& other) {
   if (!reply.result.decision || !other.result.decision) {
@@ -42,10 +44,15 @@
     const std::vector<InstanceId> homes =
         state.HomesOf(request_.shard, BootNow());
     const InstanceId self(state.settings.ip);
-    if (attempts_ >= kMaxHomesAsked || homes.empty() ||
-        std::find(homes.begin(), homes.end(), self) != homes.end()) {
+    const bool is_home =
+        std::find(homes.begin(), homes.end(), self) != homes.end();
+    if (attempts_ >= kMaxHomesAsked || homes.empty() || is_home) {
       state.metrics.CountPlacementRequest("here");
-      End(placer_->PlaceLocally(request_));
+      const PlacementReply reply = placer_->PlaceLocally(request_);
+      if (is_home) {
+        placer_->RecordCapacity(request_.shard, reply);
+      }
+      End(reply);
       return;
     }
     ++attempts_;
@@ -59,6 +66,7 @@
   void HandleReply(const InstanceId& from, const PlacementReply& reply) {
     if (from == home_) {
       placer_->state_.metrics.CountPlacementRequest("answered");
+      placer_->RecordCapacity(request_.shard, reply);
       End(IsServable(reply) ? reply : placer_->PlaceLocally(request_));
     }
   }
@@ -113,15 +121,15 @@
  public:
   Search(std::shared_ptr<Placer> placer,
          PlacementRequest request,
-         std::vector<dispatch::Shard> shards,
+         std::vector<dispatch::RankedShard> shards,
          Callback done)
       : placer_(std::move(placer)),
         request_(std::move(request)),
         shards_(std::move(shards)),
         callback_(std::move(done)) {}
 
-  // Asks the nearest shard, and others if its placement is not good enough.
-  void StartWithNearest() { Ask(1); }
+  // Asks the first shard, and others if its placement is not good enough.
+  void StartWithFirst() { Ask(1); }
   // Asks several shards at once: for a long prompt no placement is so good that
   // comparing it isn't worthwhile.
   void StartWithSeveral() {
@@ -136,7 +144,7 @@
     pending_count_ += end - next_;
     while (next_ < end) {
       PlacementRequest request = request_;
-      request.shard = shards_[next_++];
+      request.shard = shards_[next_++].shard;
       const auto shard_request = std::make_shared<ShardRequest>(
           placer_, std::move(request),
           [self = shared_from_this()](const PlacementReply& reply) {
@@ -172,12 +180,41 @@
       Ask(kAdditionalShards);
       return;
     }
+    if (const size_t count = FurtherShards(); count > 0) {
+      placer_->state_.metrics.CountPlacementRequest("further");
+      Ask(count);
+      return;
+    }
     // The shard requests own this search: keep it alive until the callback
     // ends.
     const auto keep_alive = std::move(shard_requests_);
     callback_(best_reply_);
   }
 
+  // How many shards to ask beyond the usual ones: those where capacity is
+  // expected, as long as there is no placement on time.
+  size_t FurtherShards() const {
+    if (!placer_->state_.features.ordered_search || IsOnTime()) {
+      return 0;
+    }
+    const size_t end =
+        std::min({shards_.size(), next_ + kAdditionalShards, kMaxShardsAsked});
+    size_t count = 0;
+    while (next_ + count < end && shards_[next_ + count].expected_capacity >=
+                                      dispatch::ShardDirectory::kMinCapacity) {
+      ++count;
+    }
+    return count;
+  }
+
+  bool IsOnTime() const {
+    return best_reply_.result.decision &&
+           (!request_.use_engine_model ||
+            request_.profile.elapsed +
+                    best_reply_.result.decision->time_to_first_event <=
+                request_.profile.aim);
+  }
+
   bool IsGoodEnough() const {
     return best_reply_.result.decision &&
            dispatch::IsLowCost(*best_reply_.result.decision);
@@ -186,7 +223,7 @@
   std::shared_ptr<Placer> placer_;
   PlacementRequest request_;
   // In the order in which they are asked.
-  std::vector<dispatch::Shard> shards_;
+  std::vector<dispatch::RankedShard> shards_;
   Callback callback_;
   size_t next_ = 0;
   size_t pending_count_ = 0;
@@ -202,17 +239,12 @@
     done(PlaceLocally(request));
     return;
   }
-  std::vector<dispatch::Shard> shards =
-      state_.Shards().Of(request.shard.service);
+  std::vector<dispatch::RankedShard> shards =
+      ShardsInOrder(request.shard.service);
   if (shards.empty()) {
     done(PlacementReply());
     return;
   }
-  std::shuffle(shards.begin(), shards.end(), state_.random);
-  std::stable_partition(
-      shards.begin(), shards.end(), [&](const dispatch::Shard& shard) {
-        return shard.data_centre == state_.settings.data_centre;
-      });
   const bool may_use_helpers =
       dispatch::CanUseHelpers(request.profile, state_.EngineFor(request));
   const auto search =
@@ -221,8 +253,41 @@
   if (may_use_helpers) {
     search->StartWithSeveral();
   } else {
-    search->StartWithNearest();
+    search->StartWithFirst();
+  }
+}
+
+std::vector<dispatch::RankedShard> Placer::ShardsInOrder(
+    const ServiceId& service) {
+  const std::vector<dispatch::Shard>& shards = state_.Shards().Of(service);
+  if (state_.features.ordered_search) {
+    return directory_.Rank(shards, state_.settings.data_centre, BootNow(),
+                           [this] { return state_.Random(); });
   }
+  std::vector<dispatch::RankedShard> shuffled;
+  shuffled.reserve(shards.size());
+  for (const dispatch::Shard& shard : shards) {
+    shuffled.push_back({shard, 0});
+  }
+  std::shuffle(shuffled.begin(), shuffled.end(), state_.random);
+  std::stable_partition(shuffled.begin(), shuffled.end(),
+                        [this](const dispatch::RankedShard& one) {
+                          return one.shard.data_centre ==
+                                 state_.settings.data_centre;
+                        });
+  return shuffled;
+}
+
+void Placer::RecordCapacity(const dispatch::Shard& shard,
+                            const PlacementReply& reply) {
+  // A home of an older build states no capacity; whether it has a placement
+  // shows whether there is any.
+  directory_.Record(
+      shard,
+      reply.shard_capacity.value_or(
+          reply.result.decision ? dispatch::ShardDirectory::kUnknownCapacity
+                                : 0),
+      BootNow());
 }
 
 PlacementReply Placer::PlaceLocally(const PlacementRequest& request) {
@@ -231,6 +296,9 @@
       request.shard, request.sender_data_centre, request.excluded_targets, now);
   PlacementReply reply;
   reply.candidate_count = candidates.size();
+  if (!dispatch::AllInstancesAreHomes(state_.live_instances)) {
+    reply.shard_capacity = dispatch::ShardCapacity(candidates, now);
+  }
   if (candidates.empty()) {
     return reply;
   }
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -145,6 +145,38 @@
   CHECK(decoded.result.min_time_to_first_event == absl::Milliseconds(1900));
 }
 
+// The field was appended: a home of an older build doesn't send it, and ignores
+// it when it gets it.
+TEST_CASE("a placement reply states the shard's capacity, or none") {
+  PlacementReply reply;
+  CHECK_FALSE(FromWire(ToWire(1, reply)).shard_capacity);
+  reply.shard_capacity = 0;
+  CHECK(FromWire(ToWire(1, reply)).shard_capacity == 0.0);
+  reply.shard_capacity = 2.5;
+  PeerPlacementReply wire = ToWire(1, reply);
+  CHECK(FromWire(wire).shard_capacity == 2.5);
+
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  constexpr uint32_t kFieldsBefore = 10;
+  packer.pack_array(kFieldsBefore);
+  packer.pack(wire.id)
+      .pack(wire.candidates)
+      .pack(wire.target)
+      .pack(wire.helpers)
+      .pack(wire.reserve_per_helper)
+      .pack(wire.first_event_ms)
+      .pack(wire.cost)
+      .pack(wire.retry_after_ms)
+      .pack(wire.earliest_first_event_ms)
+      .pack(wire.charged_to_limit);
+  const auto former = msgpack::unpack(buffer.data(), buffer.size())
+                          .get()
+                          .as<PeerPlacementReply>();
+  CHECK(former.id == 1);
+  CHECK_FALSE(FromWire(former).shard_capacity);
+}
+
 TEST_CASE("members are sent with the time since they were last heard") {
   dispatch::Member member{InstanceId("10.1.0.7"), DataCentreId("east"), 0.12,
                           kNow - absl::Milliseconds(900), false};
--- a/tests/front/placer_test.cc
+++ b/tests/front/placer_test.cc
@@ -13,6 +13,8 @@
 namespace {
 
 const ServiceId kService("llm");
+// Before this a capacity report has most of its weight.
+constexpr absl::Duration kReportIsFresh = absl::Milliseconds(500);
 
 struct SentRequest {
   InstanceId home;
@@ -24,7 +26,7 @@
 // `targets` targets in each. Placement requests are recorded, not sent.
 class PlacerFixture {
  public:
-  PlacerFixture(int instances, int targets)
+  PlacerFixture(int instances, int targets, double cpu_cores = 0.12)
       : log_fd_(open("/dev/null", O_WRONLY)),
         loop_(1),
         state_(loop_, testing::LoopbackSettings(store_), log_fd_),
@@ -55,7 +57,7 @@
       }
     }
     for (int i = 1; i < instances; ++i) {
-      AddInstance(i);
+      AddInstance(i, cpu_cores);
     }
     state_.CountInstances(BootNow());
   }
@@ -70,11 +72,11 @@
     entry.slots = 16;
     state_.view.Apply({++revision_, dispatch::TargetChange{entry}}, BootNow());
   }
-  void AddInstance(int number) {
+  void AddInstance(int number, double cpu_cores) {
     dispatch::Member member;
     member.id = InstanceId("10.0.0." + std::to_string(number));
     member.data_centre = DataCentreId(number % 2 == 0 ? "east" : "west");
-    member.cpu_cores = 0.12;
+    member.cpu_cores = cpu_cores;
     member.last_heard = BootNow();
     state_.members.Merge(member);
   }
@@ -105,6 +107,24 @@
     reply.result.decision->cost = cost;
     placer_->HandleReply(sent_.at(index).home, sent_.at(index).id, reply);
   }
+  // Replies as the homes of shards that are all busy, but for the one that
+  // holds `idle`, until the search has ended.
+  void ReplyAllBusyBut(const std::string& idle) {
+    const dispatch::TargetEntry* entry = state_.view.Find(TargetId(idle));
+    for (; replied_ < sent_.size(); ++replied_) {
+      const SentRequest sent = sent_[replied_];
+      PlacementReply reply;
+      reply.candidate_count = 10;
+      reply.shard_capacity = 0;
+      if (entry != nullptr && sent.request.shard.Holds(*entry)) {
+        reply.shard_capacity = 1;
+        reply.result.decision = dispatch::PlacementDecision();
+        reply.result.decision->target = TargetId(idle);
+        reply.result.decision->cost = 0.01;
+      }
+      placer_->HandleReply(sent.home, sent.id, reply);
+    }
+  }
   void RunUntil(const std::function<bool()>& done) {
     while (!done()) {
       loop_.run_one();
@@ -129,6 +149,7 @@
   std::shared_ptr<Placer> placer_;
   uint64_t revision_ = 1;
   int completed_ = 0;
+  size_t replied_ = 0;
   PlacementReply found_;
 };
 
@@ -164,6 +185,151 @@
   CHECK(one.found() == "west1");
 }
 
+// A search asked one shard of its own data centre and two others at random, and
+// gave up: requests were rejected while targets of other shards were idle.
+TEST_CASE("a search finds the idle target of any shard") {
+  // Eight shards of which this instance's data centre has four.
+  const std::string idle = GENERATE("east0", "east1", "west0", "west1", "west2",
+                                    "west3", "west4", "west5");
+  CAPTURE(idle);
+  for (int i = 0; i < 10; ++i) {
+    PlacerFixture one(40, 100);
+    one.Place(5000);
+    one.ReplyAllBusyBut(idle);
+    REQUIRE(one.completed() == 1);
+    CHECK(one.found() == idle);
+    one.Place(5000);
+    one.ReplyAllBusyBut(idle);
+    REQUIRE(one.completed() == 2);
+    CHECK(one.found() == idle);
+  }
+}
+
+TEST_CASE("the one shard that reported capacity is asked first") {
+  const std::string idle = GENERATE("east0", "west0", "west5");
+  CAPTURE(idle);
+  PlacerFixture one(40, 100);
+  const dispatch::TargetEntry* entry = one.state().view.Find(TargetId(idle));
+  const absl::Time start = BootNow();
+  one.Place(5000);
+  for (size_t i = 0; i < one.sent().size(); ++i) {
+    const SentRequest sent = one.sent()[i];
+    PlacementReply late;
+    late.shard_capacity = sent.request.shard.Holds(*entry) ? 1 : 0;
+    one.placer().HandleReply(sent.home, sent.id, late);
+  }
+  constexpr size_t kShards = 8;
+  REQUIRE(one.sent().size() == kShards);
+  one.Place(5000);
+  if (BootNow() - start < kReportIsFresh) {
+    REQUIRE(one.sent().size() == kShards + 1);
+    CHECK(one.sent().back().request.shard.Holds(*entry));
+  }
+}
+
+TEST_CASE("a search asks a bounded number of shards, and each at some time") {
+  constexpr size_t kShards = 32;
+  constexpr size_t kMaxAsked = 9;
+  // The others are so much faster that this instance is home of no shard.
+  PlacerFixture one(40, 500, 1000);
+  std::set<std::string> asked;
+  int searches = 0;
+  while (asked.size() < kShards) {
+    const size_t before = one.sent().size();
+    one.Place(5000);
+    one.ReplyAllBusyBut("none of these");
+    REQUIRE(one.completed() == ++searches);
+    CHECK(one.found().empty());
+    REQUIRE(one.sent().size() <= before + kMaxAsked);
+    for (size_t i = before; i < one.sent().size(); ++i) {
+      asked.insert(one.sent()[i].request.shard.Name());
+    }
+    // Unknown shards come before those that are known to be busy.
+    REQUIRE(searches < 100);
+  }
+}
+
+TEST_CASE("where all shards are known to be busy three are asked") {
+  PlacerFixture one(40, 100);
+  const absl::Time start = BootNow();
+  one.Place(5000);
+  one.ReplyAllBusyBut("none of these");
+  const size_t before = one.sent().size();
+  CHECK(before == 8);
+  one.Place(5000);
+  one.ReplyAllBusyBut("none of these");
+  if (BootNow() - start < kReportIsFresh) {
+    CHECK(one.sent().size() == before + 3);
+  }
+}
+
+TEST_CASE("the own data centre is preferred while it has capacity on time") {
+  PlacerFixture one(40, 20);
+  one.Place(5000);
+  one.ReplyAllBusyBut("east3");
+  for (int i = 0; i < 20; ++i) {
+    one.Place(5000);
+    CHECK(one.sent().back().request.shard.data_centre.text() == "east");
+    one.ReplyAllBusyBut("east3");
+    CHECK(one.found() == "east3");
+  }
+}
+
+TEST_CASE("a placement that is late makes a search go on") {
+  PlacerFixture one(40, 100);
+  one.Place(5000);
+  for (size_t i = 0; i < one.sent().size(); ++i) {
+    PlacementReply late;
+    late.shard_capacity = 2;
+    late.result.decision = dispatch::PlacementDecision();
+    late.result.decision->target = TargetId("east1");
+    late.result.decision->time_to_first_event = absl::Seconds(1);
+    late.result.decision->cost = 1;
+    one.placer().HandleReply(one.sent()[i].home, one.sent()[i].id, late);
+  }
+  CHECK(one.completed() == 1);
+  CHECK(one.sent().size() == 8);
+  CHECK(one.found() == "east1");
+}
+
+TEST_CASE("homes that state no capacity are searched") {
+  PlacerFixture one(40, 100);
+  one.Place(5000);
+  for (size_t i = 0; i + 1 < 8; ++i) {
+    REQUIRE(one.completed() == 0);
+    one.placer().HandleReply(one.sent()[i].home, one.sent()[i].id,
+                             PlacementReply());
+  }
+  one.Reply(7, "west1", 0.01);
+  CHECK(one.found() == "west1");
+}
+
+TEST_CASE("without the ordered search three shards are asked at most") {
+  PlacerFixture one(40, 100);
+  one.state().features.ordered_search = false;
+  for (int i = 0; i < 5; ++i) {
+    const size_t before = one.sent().size();
+    one.Place(5000);
+    CHECK(one.sent().back().request.shard.data_centre.text() == "east");
+    one.ReplyAllBusyBut("west0");
+    CHECK(one.sent().size() == before + 3);
+    // The own data centre has four shards, so that others aren't reached.
+    CHECK(one.found().empty());
+  }
+}
+
+TEST_CASE("a home states its shard's capacity") {
+  PlacerFixture home(40, 20);
+  PlacementRequest request = PlacerFixture::RequestFor(5000);
+  request.shard = {kService, DataCentreId("east"), 1, 0};
+  const InstanceId requester("10.0.0.1");
+  const PlacementReply first = home.placer().HandleRequest(requester, request);
+  REQUIRE(first.shard_capacity);
+  CHECK(*first.shard_capacity == Approx(20));
+  const PlacementReply second = home.placer().HandleRequest(requester, request);
+  CHECK(*second.shard_capacity < *first.shard_capacity);
+}
+
 TEST_CASE("a long prompt asks several shards at once") {
   PlacerFixture one(40, 60);
   one.Place(250000);
