--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -155,6 +155,8 @@
   // Without a target: the requester is expected to ask again after this time;
   // 0: the request is to be refused.
   uint32_t ask_again_ms = 0;
+  // Capacity of the shard in idle targets; negative: not stated.
+  float capacity = -1;
   MSGPACK_DEFINE_ARRAY(id,
                        candidates,
                        target,
@@ -165,7 +167,8 @@
                        retry_after_ms,
                        earliest_first_event_ms,
                        charged_to_limit,
-                       ask_again_ms);
+                       ask_again_ms,
+                       capacity);
 };
 
 // A target that announced its departure, identified by its birth time.
@@ -195,8 +198,8 @@
   // First events, and the mean ratio of their actual to their predicted times.
   uint32_t first_events = 0;
   float latency_ratio = 0;
-  // Windows of pauses between events, and their mean typical pause. A home knows
-  // all work at the target and derives its decode speed.
+  // Windows of pauses between events, and their mean typical pause. A home
+  // knows all work at the target and derives its decode speed.
   uint32_t pause_windows = 0;
   float pause_ms = 0;
   MSGPACK_DEFINE_ARRAY(target,
