One memory budget for the process, and tests with crowds of clients

Each client connection could make the instance buffer a body, 64 KB of pipelined requests, a head and an unread response, whatever the others held. 400 clients with bodies of 256 KB took an instance from 11 to 170 MB.

Buffers are now charged to one budget of half of limits.memory_mb, with a part each for connections, bodies and responses. Under pressure stalled requests are refused first, then those of addresses over their part; connections are limited by limits.max_fds. Freed memory is returned to the system once the use has halved. The body of a request is no longer copied for each attempt.

--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "umbertrail/front/peer_link.h"
+#include "umbertrail/front/resource_limits.h"
 #include "umbertrail/front/state.h"
 #include "umbertrail/front/store_reader.h"
 #include "umbertrail/net/server.h"
@@ -24,6 +25,10 @@
         dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted,
         const dispatch::Features& features = {});
 
+  ~Front();
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+
   // Serves until a graceful shutdown ends. Waits for addresses that are in use,
   // as a predecessor may still be stopping; fails when one can't be bound, or
   // stays in use for longer than such a stop takes.
@@ -51,6 +56,11 @@
   void OnMetrics(std::shared_ptr<net::ServerConnection> client);
   bool IsReady() const;
   void OnViewChange();
+  // Applies the settings' limits on memory and descriptors.
+  void ApplyResourceLimits();
+  void WatchMemory();
+  // Returns freed memory to the system, a moment after buffers were released.
+  void ScheduleTrim();
   void AwaitSignal();
   void OnSignal(int signal);
   void BeginStop();
@@ -64,6 +74,7 @@
   State state_;
   std::string settings_path_;
   std::string settings_text_;
+  ShedReport shed_report_;
   net::HttpServer callers_;
   net::HttpServer readiness_;
   net::HttpServer control_;
@@ -74,6 +85,7 @@
   boost::asio::steady_timer bind_timer_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer settings_timer_;
+  boost::asio::steady_timer trim_timer_;
   absl::Time start_began_;
   // Addresses found in use so far.
   std::set<std::string> awaited_addresses_;
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -19,6 +19,10 @@
   double open_requests = 0;
   double connections = 0;
   double live_instances = 0;
+  // Bytes charged to the memory budget.
+  double connection_bytes = 0;
+  double body_bytes = 0;
+  double response_bytes = 0;
   bool ready = false;
 };
 
@@ -46,6 +50,8 @@
   // decision.
   void CountPlacementRequest(absl::string_view result);
   void CountDroppedLogLine();
+  // Counts a request refused, or a connection closed, under pressure.
+  void CountShed(absl::string_view reason);
 
   std::string Text(const Gauges& gauges) const;
 
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -129,6 +129,11 @@
   void ExcludeHelper(const std::string& address);
   void ForwardStreamEvents();
   void ForwardBufferedBody();
+  // Response bytes that are kept to replace a truncated response, and those
+  // that wait for the client; fewer under pressure.
+  size_t MaxBufferedBody() const;
+  size_t MaxPendingBytes() const;
+  void ChargeBuffers();
   void StartResponseOnce();
   void RecordFirstEvent();
   // Updates the stream's time to first event and longest inter-event gap.
@@ -204,6 +209,8 @@
   bool not_executed_ = false;
   net::ResponseHead response_head_;
   std::string buffered_body_;
+  // Of `buffered_body_` and the framer.
+  net::MemoryCharge buffer_charge_;
   size_t discarded_bytes_ = 0;
   StreamFramer framer_;
   bool response_started_ = false;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -30,6 +30,7 @@
 #include "umbertrail/front/event_log.h"
 #include "umbertrail/front/metrics.h"
 #include "umbertrail/front/target_pool.h"
+#include "umbertrail/net/memory_budget.h"
 
 namespace umbertrail::front {
 
@@ -147,6 +148,8 @@
   std::string NextReservation();
 
   net::Loop& loop;
+  // What clients, targets and other instances make this process hold.
+  std::shared_ptr<net::MemoryBudget> memory;
   dispatch::PlacementMode mode = dispatch::PlacementMode::kPredicted;
   dispatch::Features features;
   adapter::InstanceSettings settings;
--- a/packages/front/include/umbertrail/front/stream_framer.h
+++ b/packages/front/include/umbertrail/front/stream_framer.h
@@ -20,6 +20,8 @@
   std::string TakeRemainder();
   // True if a stream that ended now would end inside an event.
   bool has_incomplete_event() const;
+  // Bytes that are held.
+  size_t held_bytes() const { return pending_.capacity(); }
   // True if the incomplete event is longer than any that a target sends.
   bool is_event_too_long() const { return pending_.size() > kMaxEventBytes; }
   // Id of the last event taken that had one; empty if none had.
--- a/packages/front/include/umbertrail/front/target_pool.h
+++ b/packages/front/include/umbertrail/front/target_pool.h
@@ -18,7 +18,10 @@
   // A live target acknowledges sent bytes within this.
   static constexpr absl::Duration kAckTimeout = absl::Seconds(3);
 
-  explicit TargetPool(net::Loop& loop) : loop_(loop) {}
+  // Connections are charged to `memory`, if that is given.
+  explicit TargetPool(net::Loop& loop,
+                      std::shared_ptr<net::MemoryBudget> memory = nullptr)
+      : loop_(loop), memory_(std::move(memory)) {}
 
   // Returns an idle connection for one call to the target, or a new one that is
   // not connected yet.
@@ -32,6 +35,7 @@
 
  private:
   net::Loop& loop_;
+  std::shared_ptr<net::MemoryBudget> memory_;
   std::map<TargetId, std::vector<std::shared_ptr<net::ClientConnection>>> idle_;
 };
 
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -1,5 +1,7 @@
 #include "umbertrail/front/front.h"
 
+#include <malloc.h>
+
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <fstream>
@@ -33,6 +35,9 @@
 constexpr int kNotFound = 404;
 // Headers that another instance adds to a request.
 constexpr size_t kMaxAddedHeaderBytes = 1024;
+// After a crowd of clients has gone, the rest of its buffers is freed within
+// this; refused connections linger for a second.
+constexpr absl::Duration kTrimDelay = absl::Seconds(2);
 // Polling interval for changes of the settings file.
 constexpr absl::Duration kSettingsCheckInterval = absl::Seconds(2);
 
@@ -62,6 +67,7 @@
     : loop_(1),
       state_(loop_, std::move(settings), log_fd),
       settings_path_(std::move(settings_path)),
+      shed_report_(state_.log, state_.metrics),
       callers_(
           loop_,
           [this](auto client) { OnRequest(std::move(client)); },
@@ -70,7 +76,8 @@
                              {{"status", static_cast<int64_t>(status)},
                               {"reason", absl::string_view(reason)}},
                              BootNow());
-          }),
+          },
+          state_.memory),
       readiness_(
           loop_,
           [this](auto client) { OnReadiness(std::move(client)); },
@@ -78,7 +85,8 @@
       control_(
           loop_,
           [this](auto client) { OnControl(std::move(client)); },
-          [](int, const char*) {}),
+          [](int, const char*) {},
+          state_.memory),
       metrics_(
           loop_,
           [this](auto client) { OnMetrics(std::move(client)); },
@@ -86,7 +94,8 @@
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       bind_timer_(loop_),
       stop_timer_(loop_),
-      settings_timer_(loop_) {
+      settings_timer_(loop_),
+      trim_timer_(loop_) {
   state_.mode = mode;
   state_.features = features;
   settings_text_ = ReadFile(settings_path_);
@@ -109,6 +118,39 @@
         peers_->SendPlacementRequest(home, id, request);
       });
   state_.board.SetOnChange([this] { peers_->ScheduleFlush(); });
+  WatchMemory();
+  ApplyResourceLimits();
+}
+
+Front::~Front() {
+  state_.memory->SetOnShed(nullptr);
+  state_.memory->SetOnDrained(nullptr);
+}
+
+void Front::WatchMemory() {
+  state_.memory->SetOnShed([this](net::ShedReason reason) {
+    shed_report_.Note(reason, *state_.memory, BootNow());
+  });
+  state_.memory->SetOnDrained([this] { ScheduleTrim(); });
+}
+
+void Front::ApplyResourceLimits() {
+  state_.memory->SetSize(MemoryBudgetOf(state_.settings));
+  const ConnectionLimits limits =
+      ConnectionLimitsOf(state_.settings, SystemFds());
+  callers_.SetMaxConnections(limits.callers);
+  control_.SetMaxConnections(limits.control);
+  readiness_.SetMaxConnections(limits.other);
+  metrics_.SetMaxConnections(limits.other);
+}
+
+void Front::ScheduleTrim() {
+  trim_timer_.expires_after(net::ToChrono(kTrimDelay));
+  trim_timer_.async_wait([](const boost::system::error_code& error) {
+    if (!error) {
+      malloc_trim(0);
+    }
+  });
 }
 
 std::optional<Front::BindFault> Front::BindAddresses() {
@@ -239,6 +281,12 @@
   gauges.open_requests = static_cast<double>(callers_.busy());
   gauges.connections = static_cast<double>(callers_.connections());
   gauges.live_instances = state_.live_instances;
+  const auto used = [&](net::MemoryUse use) {
+    return static_cast<double>(state_.memory->used(use));
+  };
+  gauges.connection_bytes = used(net::MemoryUse::kConnections);
+  gauges.body_bytes = used(net::MemoryUse::kBodies);
+  gauges.response_bytes = used(net::MemoryUse::kResponses);
   gauges.ready = IsReady();
   net::ResponseHead head;
   head.status = 200;
@@ -377,6 +425,7 @@
   settings.peer_port = state_.settings.peer_port;
   settings.first_start = state_.settings.first_start;
   state_.settings = std::move(settings);
+  ApplyResourceLimits();
   state_.log.Write(EventLog::Level::kImportant, "reload", {}, BootNow());
 }
 
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -84,6 +84,13 @@
           .Name("umbertrail_log_lines_lost_total")
           .Help("Log lines left out for want of room")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& shed =
+      prometheus::BuildCounter()
+          .Name("umbertrail_shed_total")
+          .Help(
+              "Requests refused and connections closed for want of memory or "
+              "descriptors, by reason")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& durations =
       prometheus::BuildHistogram()
           .Name("umbertrail_request_seconds")
@@ -155,6 +162,10 @@
   families_->lost_lines.Add({}).Increment();
 }
 
+void Metrics::CountShed(absl::string_view reason) {
+  families_->shed.Add({{"reason", Copy(reason)}}).Increment();
+}
+
 std::string Metrics::Text(const Gauges& gauges) const {
   const std::pair<const char*, double> readings[] = {
       {"config_version", gauges.config_version},
@@ -163,6 +174,9 @@
       {"open_requests", gauges.open_requests},
       {"connections", gauges.connections},
       {"live_instances", gauges.live_instances},
+      {"connection_bytes", gauges.connection_bytes},
+      {"body_bytes", gauges.body_bytes},
+      {"response_bytes", gauges.response_bytes},
       {"ready", gauges.ready ? 1.0 : 0.0}};
   for (const auto& [name, value] : readings) {
     families_->gauges.Add({{"name", name}}).Set(value);
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -54,7 +54,8 @@
       waiting_since_(started_),
       deadline_(absl::InfiniteFuture()),
       deadline_alarm_(state.loop),
-      first_event_alarm_(state.loop) {}
+      first_event_alarm_(state.loop),
+      buffer_charge_(state.memory, net::MemoryUse::kResponses) {}
 
 bool Relay::is_stream() const {
   return dispatch::IsStream(route_->repeat);
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -22,6 +22,8 @@
 constexpr int kMaxDirectConnectFailures = 2;
 // Unsent bytes for a slow client above which reading from the target pauses.
 constexpr size_t kMaxPendingBytes = 131072;
+// Both limits when memory for responses is scarce: enough for two reads.
+constexpr size_t kMaxBytesUnderPressure = 16384;
 // Non-streamed bodies up to this size are buffered until complete, so that the
 // request can be retried if the response is truncated.
 constexpr size_t kMaxBufferedBody = 131072;
@@ -177,7 +179,7 @@
         client_->SendBody(bytes);
       } else {
         buffered_body_.append(bytes.data(), bytes.size());
-        if (buffered_body_.size() > kMaxBufferedBody) {
+        if (buffered_body_.size() > MaxBufferedBody()) {
           ForwardBufferedBody();
         }
       }
@@ -193,11 +195,31 @@
     case ResponseMode::kUndecided:
       break;
   }
-  if (client_->pending_bytes() > kMaxPendingBytes && connection_) {
+  ChargeBuffers();
+  if (client_->pending_bytes() > MaxPendingBytes() && connection_) {
     connection_->SetReadingPaused(true);
   }
 }
 
+size_t Relay::MaxBufferedBody() const {
+  return state_.memory->IsUnderPressure(net::MemoryUse::kResponses)
+             ? kMaxBytesUnderPressure
+             : kMaxBufferedBody;
+}
+
+size_t Relay::MaxPendingBytes() const {
+  if (!state_.memory->HasRoom(net::MemoryUse::kResponses, 0)) {
+    return 0;
+  }
+  return state_.memory->IsUnderPressure(net::MemoryUse::kResponses)
+             ? kMaxBytesUnderPressure
+             : kMaxPendingBytes;
+}
+
+void Relay::ChargeBuffers() {
+  buffer_charge_.Set(buffered_body_.size() + framer_.held_bytes());
+}
+
 void Relay::ForwardStreamEvents() {
   const std::string events = framer_.TakeCompleteEvents();
   if (events.empty()) {
@@ -252,8 +274,8 @@
 
 void Relay::ForwardBufferedBody() {
   StartResponseOnce();
-  client_->SendBody(buffered_body_);
-  buffered_body_.clear();
+  client_->SendBody(std::exchange(buffered_body_, {}));
+  ChargeBuffers();
 }
 
 void Relay::StartResponseOnce() {
@@ -350,7 +372,7 @@
 }
 
 void Relay::OnClientProgress() {
-  if (connection_ && client_->pending_bytes() <= kMaxPendingBytes / 2) {
+  if (connection_ && client_->pending_bytes() <= MaxPendingBytes() / 2) {
     connection_->SetReadingPaused(false);
   }
 }
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -43,12 +43,13 @@
              adapter::InstanceSettings instance_settings,
              int log_fd)
     : loop(event_loop),
+      memory(std::make_shared<net::MemoryBudget>()),
       settings(std::move(instance_settings)),
       log(log_fd, settings.name.text()),
       members({InstanceId(settings.ip), settings.data_centre,
                settings.cpu_cores, absl::InfiniteFuture()}),
-      pool(event_loop),
-      peer_pool(event_loop),
+      pool(event_loop, memory),
+      peer_pool(event_loop, memory),
       fleet_size(StartOf(settings), BootNow()),
       block_trials(settings.first_start
                        ? dispatch::BlockTrials::Start::kWithFleet
@@ -286,7 +287,7 @@
     done(false);
     return;
   }
-  const auto connection = std::make_shared<net::ClientConnection>(loop);
+  const auto connection = std::make_shared<net::ClientConnection>(loop, memory);
   connection->Open(
       *endpoint, TargetPool::kConnectTimeout, TargetPool::kAckTimeout,
       [this, target, connection, done = std::move(done)](bool connected) {
--- a/packages/front/src/target_pool.cc
+++ b/packages/front/src/target_pool.cc
@@ -22,7 +22,7 @@
     }
     connection->Close();
   }
-  return std::make_shared<net::ClientConnection>(loop_);
+  return std::make_shared<net::ClientConnection>(loop_, memory_);
 }
 
 void TargetPool::Release(const TargetId& target,
--- a/packages/net/include/umbertrail/net/client.h
+++ b/packages/net/include/umbertrail/net/client.h
@@ -44,7 +44,10 @@
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
-  explicit ClientConnection(Loop& loop);
+  // Its buffers are charged to `memory`, if that is given. The body of a
+  // request is not, as the caller holds it too.
+  explicit ClientConnection(Loop& loop,
+                            std::shared_ptr<MemoryBudget> memory = nullptr);
   ~ClientConnection();
 
   // Sends a request, connecting first if needed; `body` may be null. Fails if
@@ -99,6 +102,7 @@
 
   Loop& loop_;
   Tcp::socket socket_;
+  MemoryCharge charge_;
   WriteQueue writes_;
   Timer timer_;
   Endpoint endpoint_;
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -2,16 +2,21 @@
 #define UMBERTRAIL_NET_SERVER_H_
 
 #include <array>
+#include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_set>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "umbertrail/net/alarm.h"
+#include "umbertrail/net/memory_budget.h"
 #include "umbertrail/net/message.h"
+#include "umbertrail/net/shedding.h"
 #include "umbertrail/net/socket.h"
 
 // HTTP/1.1 server on the event loop: one request at a time per connection. The
@@ -30,6 +35,14 @@
   absl::Duration idle_timeout = absl::Seconds(15);
 };
 
+// The body of a request, charged for as long as anyone holds it.
+struct RequestBody {
+  explicit RequestBody(std::shared_ptr<MemoryBudget> memory)
+      : charge(std::move(memory), MemoryUse::kBodies) {}
+  std::string bytes;
+  MemoryCharge charge;
+};
+
 // Observes the client of a request until the response ends.
 class ClientObserver {
  public:
@@ -42,15 +55,23 @@
 
 class HttpServer;
 
+// Connections that may be closed under pressure, by what they hold.
+enum class ShedKind { kIdle, kHead, kBody, kResponse };
+inline constexpr size_t kShedKinds = 4;
+
 // A client connection; handles one request at a time.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
-  ServerConnection(HttpServer& server, Tcp::socket socket);
+  ServerConnection(HttpServer& server,
+                   Tcp::socket socket,
+                   ClientAddress address);
   ~ServerConnection();
 
   // The current request and its complete body.
   const RequestHead& request() const { return request_; }
-  const std::shared_ptr<std::string>& body() const { return body_; }
+  std::shared_ptr<const std::string> body() const {
+    return {body_, &body_->bytes};
+  }
 
   // Notifies `observer`, and keeps it alive, until the response ends.
   void Watch(std::shared_ptr<ClientObserver> observer);
@@ -87,6 +108,8 @@
   void OnReadError(const boost::system::error_code& error);
   // Sends an error response, then closes.
   void Refuse(int status, const char* reason);
+  // Sends an error response without reporting it, then closes.
+  void SendRefusal(ResponseHead head);
   // Null when the framing of a parsed head is unambiguous.
   const char* FramingError() const;
   void OnRequestRead();
@@ -113,6 +136,39 @@
   size_t UnacknowledgedBytes();
   void PrepareNext();
 
+  // -- Memory (server_memory.cc)
+
+  // Charges the bytes that are read and not parsed yet.
+  void ChargeBuffer();
+  // Releases a large buffer that is empty.
+  void ReleaseBuffer();
+  // Whether memory is left for more of an incomplete head.
+  bool HasRoomForHead();
+  // Whether memory is left for the body, as far as its head tells.
+  bool HasRoomForBody();
+  bool HasRoomForBodyOf(size_t more, size_t total);
+  // Makes room for what the next parsing may add to the body; false if there
+  // is no memory for it.
+  bool GrowBody();
+  // Whether memory is left for a connection to a target.
+  bool HasRoomToRun();
+  void ReleaseBody();
+  void BeginProgress();
+  void NoteProgress(uint64_t mark);
+  void NoteBodyProgress();
+  void NoteUnreadResponse();
+  // Answers 503, as no memory is left or the request arrives too slowly.
+  void RefuseForMemory(ShedReason reason);
+  // Most pipelined bytes that are buffered during a response.
+  size_t MaxReadAhead() const;
+  MemoryDemand DemandFor(MemoryUse use, size_t bytes) const;
+  // Memory that Shed would release; 0 if the connection is not of that kind.
+  size_t SheddableBytes(ShedKind kind);
+  // Time without progress.
+  absl::Duration StalledFor() const;
+  // Closes the connection; a request that is being read is refused.
+  void Shed();
+
   HttpServer& server_;
   Tcp::socket socket_;
   WriteQueue writes_;
@@ -137,18 +193,32 @@
   struct Reader;
   std::unique_ptr<Reader> reader_;
   RequestHead request_;
-  std::shared_ptr<std::string> body_;
+  std::shared_ptr<RequestBody> body_;
   std::shared_ptr<ClientObserver> observer_;
+  MemoryCharge charge_;
+  // The event loop may hold this for longer than the server lives.
+  bool server_is_alive_ = true;
+  const ClientAddress address_;
+  // Bytes of the body, or written bytes, at the last progress, and its time.
+  uint64_t progress_mark_ = 0;
+  std::chrono::steady_clock::time_point progressed_at_;
 };
 
 // Accepts connections and reads requests from them.
-class HttpServer {
+class HttpServer : public MemoryReclaimer {
  public:
   using Handler = std::function<void(std::shared_ptr<ServerConnection>)>;
   // Called for each refused request with its status and reason phrase.
   using FaultHandler = std::function<void(int status, const char* reason)>;
 
-  HttpServer(Loop& loop, Handler on_request, FaultHandler on_fault);
+  // Without `memory`, connections and their buffers are not bounded.
+  HttpServer(Loop& loop,
+             Handler on_request,
+             FaultHandler on_fault,
+             std::shared_ptr<MemoryBudget> memory = nullptr);
+  ~HttpServer() override;
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
 
   // Returns the error if the address can't be bound; it may be tried again.
   boost::system::error_code Listen(const Endpoint& endpoint);
@@ -157,6 +227,9 @@
   void StopListening();
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   const ServerLimits& limits() const { return limits_; }
+  // Further connections replace the one that has been idle for the longest; if
+  // none is idle, they are closed at once.
+  void SetMaxConnections(size_t count) { max_connections_ = count; }
 
   // From now on each response carries `Connection: close`.
   void StartDraining() { draining_ = true; }
@@ -173,19 +246,47 @@
   size_t CountUndelivered() const;
   size_t connections() const { return connections_.size(); }
 
+  // MemoryReclaimer:
+  void Reclaim(const MemoryDemand& demand) override;
+
  private:
   friend class ServerConnection;
   void Accept();
+  // Serves the connection if there is a place for it.
+  void Admit(Tcp::socket socket, const Endpoint& client);
+
+  // -- Memory (server_memory.cc)
+
+  bool HasPlace(ClientAddress address);
+  // Whether `bytes` are left for connections. The last of them are not given to
+  // an address with over half of the connections.
+  bool HasRoomFor(ClientAddress address, size_t bytes);
+  bool HoldsMost(ClientAddress address) const;
+  void NoteOpened(ClientAddress address);
+  void NoteClosed(ClientAddress address);
+  // Closes connections of one kind until enough is released.
+  void Shed(ShedKind kind,
+            absl::Duration min_stalled,
+            const ShedDemand& demand);
 
   Loop& loop_;
+  std::shared_ptr<MemoryBudget> memory_;
   Handler on_request_;
   FaultHandler on_fault_;
   Tcp::acceptor acceptor_;
+  // Of the connection that is being accepted.
+  Endpoint accepted_from_;
   boost::asio::steady_timer accept_retry_timer_;
   ServerLimits limits_;
   bool draining_ = false;
   bool refusing_requests_ = false;
   size_t busy_ = 0;
+  size_t max_connections_ = std::numeric_limits<size_t>::max();
+  // Connections whose descriptor is open.
+  size_t open_ = 0;
+  absl::flat_hash_map<ClientAddress, size_t> open_by_address_;
+  // When connections may be searched again for ones to close, for each kind.
+  std::array<std::chrono::steady_clock::time_point, kShedKinds> next_search_;
   std::unordered_set<ServerConnection*> connections_;
 };
 
--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -17,6 +17,9 @@
 constexpr double kIdleFraction = 0.7;
 // Interim responses (status 1xx) accepted before the final one.
 constexpr int kMaxInterimResponses = 16;
+// Memory of a connection with its parser and its read buffer, which hold at
+// most one read beyond a line of the response.
+constexpr size_t kConnectionBytes = 12288;
 
 // Seconds of "timeout=5, max=100"; negative if absent.
 double KeepAliveTimeout(absl::string_view keep_alive) {
@@ -60,11 +63,19 @@
   MessageReader<false> message;
 };
 
-ClientConnection::ClientConnection(Loop& loop)
+ClientConnection::ClientConnection(Loop& loop,
+                                   std::shared_ptr<MemoryBudget> memory)
     : loop_(loop),
       socket_(loop),
-      writes_(socket_, [this](bool ok) { OnWritten(ok); }),
-      timer_(loop) {}
+      charge_(memory, MemoryUse::kConnections),
+      writes_(
+          socket_,
+          [this](bool ok) { OnWritten(ok); },
+          std::move(memory),
+          MemoryUse::kConnections),
+      timer_(loop) {
+  charge_.Set(kConnectionBytes);
+}
 
 ClientConnection::~ClientConnection() = default;
 
@@ -151,11 +162,8 @@
 
 void ClientConnection::Send() {
   sent_ = true;
-  if (body_ != nullptr && !body_->empty()) {
-    head_.append(*body_);
-  }
-  writes_.Push(std::move(head_), shared_from_this());
-  body_.reset();
+  writes_.PushWithShared(std::exchange(head_, {}), std::exchange(body_, {}),
+                         shared_from_this());
 }
 
 void ClientConnection::ReadMore() {
--- a/packages/net/src/server.cc
+++ b/packages/net/src/server.cc
@@ -11,13 +11,11 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
-#include "parser.h"
+#include "server_reader.h"
 
 namespace umbertrail::net {
 namespace {
 
-// Pipelined bytes buffered during a response; more stays in the socket.
-constexpr size_t kMaxReadAhead = 65536;
 // A client that acknowledges no bytes for this long is considered gone.
 constexpr absl::Duration kClientAckTimeout = absl::Seconds(6);
 // How long a connection whose last response has been delivered waits for the
@@ -31,24 +29,31 @@
 
 }  // namespace
 
-struct ServerConnection::Reader {
-  explicit Reader(std::string& body)
-      : message([&body](absl::string_view bytes) {
-          body.append(bytes.data(), bytes.size());
-        }) {}
-  MessageReader<true> message;
-};
-
-ServerConnection::ServerConnection(HttpServer& server, Tcp::socket socket)
+ServerConnection::ServerConnection(HttpServer& server,
+                                   Tcp::socket socket,
+                                   ClientAddress address)
     : server_(server),
       socket_(std::move(socket)),
-      writes_(socket_, [this](bool ok) { OnWritten(ok); }),
-      timer_(server.loop_) {
+      writes_(
+          socket_,
+          [this](bool ok) { OnWritten(ok); },
+          server.memory_,
+          MemoryUse::kResponses),
+      timer_(server.loop_),
+      charge_(server.memory_, MemoryUse::kConnections),
+      address_(address) {
   server_.connections_.insert(this);
+  server_.NoteOpened(address_);
+  ChargeBuffer();
 }
 
 ServerConnection::~ServerConnection() {
-  server_.connections_.erase(this);
+  if (server_is_alive_) {
+    server_.connections_.erase(this);
+    if (state_ != State::kClosed) {
+      server_.NoteClosed(address_);
+    }
+  }
 }
 
 void ServerConnection::Start() {
@@ -58,8 +63,8 @@
 }
 
 void ServerConnection::PrepareNext() {
-  body_ = std::make_shared<std::string>();
-  reader_ = std::make_unique<Reader>(*body_);
+  body_ = std::make_shared<RequestBody>(server_.memory_);
+  reader_ = std::make_unique<Reader>(body_->bytes);
   reader_->message.header_limit(
       static_cast<uint32_t>(server_.limits_.max_header_bytes));
   reader_->message.body_limit(
@@ -67,6 +72,9 @@
   request_ = {};
   observer_.reset();
   state_ = State::kIdle;
+  NoteProgress(0);  // Idle since now.
+  BeginProgress();
+  ReleaseBuffer();
   timer_.Set(server_.limits_.idle_timeout, shared_from_this(),
              &ServerConnection::OnTimer);
 }
@@ -75,7 +83,7 @@
   if (reading_ || input_ended_ || state_ == State::kClosed) {
     return;
   }
-  if (state_ == State::kResponding && buffer_.size() >= kMaxReadAhead) {
+  if (state_ == State::kResponding && buffer_.size() >= MaxReadAhead()) {
     return;
   }
   reading_ = true;
@@ -85,6 +93,7 @@
                                   size_t bytes) {
         self->reading_ = false;
         self->buffer_.append(self->read_buffer_.data(), bytes);
+        self->ChargeBuffer();
         self->OnRead(error, bytes);
       });
 }
@@ -143,6 +152,10 @@
     timer_.Set(server_.limits_.header_timeout, shared_from_this(),
                &ServerConnection::OnTimer);
   }
+  if (state_ == State::kReadingBody && !GrowBody()) {
+    RefuseForMemory(ShedReason::kNoMemory);
+    return;
+  }
   boost::beast::error_code error;
   const size_t consumed = reader_->message.Feed(buffer_, error);
   buffer_.erase(0, consumed);
@@ -166,6 +179,10 @@
       return;
     }
     state_ = State::kReadingBody;
+    if (!HasRoomForBody()) {
+      RefuseForMemory(ShedReason::kNoMemory);
+      return;
+    }
     if (const std::string* expect = request_.headers.Find("Expect")) {
       if (absl::EqualsIgnoreCase(*expect, "100-continue")) {
         writes_.Push("HTTP/1.1 100 Continue\r\n\r\n", shared_from_this());
@@ -174,6 +191,10 @@
   }
   if (reader_->message.is_done()) {
     OnRequestRead();
+  } else if (state_ == State::kReadingBody) {
+    NoteBodyProgress();
+  } else if (!HasRoomForHead()) {
+    RefuseForMemory(ShedReason::kNoMemory);
   }
 }
 
@@ -216,18 +237,28 @@
     Refuse(503, "Service Unavailable");
     return;
   }
+  BeginProgress();
+  if (!HasRoomToRun()) {
+    RefuseForMemory(ShedReason::kNoMemory);
+    return;
+  }
   ++server_.busy_;
   server_.on_request_(shared_from_this());
 }
 
 void ServerConnection::Refuse(int status, const char* reason) {
   server_.on_fault_(status, reason);
-  state_ = State::kResponding;
-  ++server_.busy_;
-  close_after_response_ = true;
   ResponseHead head;
   head.status = status;
   head.reason = reason;
+  SendRefusal(std::move(head));
+}
+
+void ServerConnection::SendRefusal(ResponseHead head) {
+  state_ = State::kResponding;
+  ++server_.busy_;
+  close_after_response_ = true;
+  ReleaseBody();
   Respond(std::move(head), "");
 }
 
@@ -267,12 +298,11 @@
   if (state_ != State::kResponding || bytes.empty() || bodyless_response_) {
     return;
   }
-  if (!chunked_response_) {
-    writes_.Push(std::string{bytes}, shared_from_this());
-    return;
-  }
-  writes_.Push(absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"),
+  writes_.Push(chunked_response_ ? absl::StrCat(absl::Hex(bytes.size()), "\r\n",
+                                                bytes, "\r\n")
+                                 : std::string{bytes},
                shared_from_this());
+  NoteUnreadResponse();
 }
 
 void ServerConnection::FinishResponse() {
@@ -344,6 +374,7 @@
   state_ = State::kDelivering;
   observer_.reset();
   buffer_.clear();
+  ReleaseBody();
   acknowledged_bytes_ = 0;
   checks_without_progress_ = 0;
   ShutDownWhenWritten();
@@ -423,18 +454,34 @@
     --server_.busy_;
   }
   state_ = State::kClosed;
+  server_.NoteClosed(address_);
   observer_.reset();
   timer_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
 
-HttpServer::HttpServer(Loop& loop, Handler on_request, FaultHandler on_fault)
+HttpServer::HttpServer(Loop& loop,
+                       Handler on_request,
+                       FaultHandler on_fault,
+                       std::shared_ptr<MemoryBudget> memory)
     : loop_(loop),
+      memory_(memory == nullptr ? std::make_shared<MemoryBudget>()
+                                : std::move(memory)),
       on_request_(std::move(on_request)),
       on_fault_(std::move(on_fault)),
       acceptor_(loop),
-      accept_retry_timer_(loop) {}
+      accept_retry_timer_(loop) {
+  memory_->Add(this);
+}
+
+HttpServer::~HttpServer() {
+  CloseAll();
+  for (ServerConnection* connection : connections_) {
+    connection->server_is_alive_ = false;
+  }
+  memory_->Remove(this);
+}
 
 boost::system::error_code HttpServer::Listen(const Endpoint& endpoint) {
   boost::system::error_code error;
@@ -464,9 +511,10 @@
   acceptor_.non_blocking(true, error);
   while (!error) {
     Tcp::socket socket(loop_);
-    acceptor_.accept(socket, error);
+    Endpoint client;
+    acceptor_.accept(socket, client, error);
     if (!error) {
-      std::make_shared<ServerConnection>(*this, std::move(socket))->Start();
+      Admit(std::move(socket), client);
     }
   }
   boost::system::error_code ignored;
@@ -475,12 +523,13 @@
 
 void HttpServer::Accept() {
   acceptor_.async_accept(
+      accepted_from_,
       [this](const boost::system::error_code& error, Tcp::socket socket) {
         if (!acceptor_.is_open()) {
           return;
         }
         if (!error) {
-          std::make_shared<ServerConnection>(*this, std::move(socket))->Start();
+          Admit(std::move(socket), accepted_from_);
           Accept();
           return;
         }
@@ -494,6 +543,16 @@
       });
 }
 
+void HttpServer::Admit(Tcp::socket socket, const Endpoint& client) {
+  const ClientAddress address = client.address().to_v4().to_uint();
+  if (!HasPlace(address)) {
+    memory_->NoteShed(ShedReason::kNewConnection);
+    return;
+  }
+  std::make_shared<ServerConnection>(*this, std::move(socket), address)
+      ->Start();
+}
+
 void HttpServer::CloseIdle() {
   refusing_requests_ = true;
   const std::vector<ServerConnection*> all(connections_.begin(),
--- a/packages/net/src/socket.cc
+++ b/packages/net/src/socket.cc
@@ -59,22 +59,38 @@
 }
 
 void WriteQueue::Push(std::string bytes, const std::shared_ptr<void>& keep) {
-  if (failed_ || bytes.empty()) {
+  PushWithShared(std::move(bytes), nullptr, keep);
+}
+
+void WriteQueue::PushWithShared(std::string bytes,
+                                std::shared_ptr<const std::string> shared,
+                                const std::shared_ptr<void>& keep) {
+  if (failed_) {
     return;
   }
-  pending_bytes_ += bytes.size();
-  pending_.push_back(std::move(bytes));
-  if (writing_.empty()) {
+  if (!bytes.empty()) {
+    charge_.Set(charge_.bytes() + bytes.size());
+    Add({std::move(bytes), nullptr});
+  }
+  if (shared != nullptr && !shared->empty()) {
+    Add({std::string(), std::move(shared)});
+  }
+  if (writing_.empty() && !pending_.empty()) {
     WriteNext(keep);
   }
 }
 
+void WriteQueue::Add(Piece piece) {
+  pending_bytes_ += piece.bytes().size();
+  pending_.push_back(std::move(piece));
+}
+
 void WriteQueue::WriteNext(const std::shared_ptr<void>& keep) {
   writing_.swap(pending_);
   std::vector<boost::asio::const_buffer> buffers;
   buffers.reserve(writing_.size());
-  for (const std::string& bytes : writing_) {
-    buffers.emplace_back(bytes.data(), bytes.size());
+  for (const Piece& piece : writing_) {
+    buffers.emplace_back(piece.bytes().data(), piece.bytes().size());
   }
   counted_bytes_ = 0;
   const auto count_progress = [this](const boost::system::error_code& error,
@@ -83,19 +99,23 @@
     counted_bytes_ = transferred;
     return boost::asio::transfer_all()(error, transferred);
   };
-  boost::asio::async_write(
-      socket_, buffers, count_progress,
-      [this, keep](const boost::system::error_code& error, size_t) {
-        for (const std::string& bytes : writing_) {
-          pending_bytes_ -= bytes.size();
-        }
-        writing_.clear();
-        failed_ = failed_ || static_cast<bool>(error);
-        if (!failed_ && !pending_.empty()) {
-          WriteNext(keep);
-        }
-        on_progress_(!failed_);
-      });
+  boost::asio::async_write(socket_, buffers, count_progress,
+                           [this, keep](const boost::system::error_code& error,
+                                        size_t) { OnWritten(error, keep); });
+}
+
+void WriteQueue::OnWritten(const boost::system::error_code& error,
+                           const std::shared_ptr<void>& keep) {
+  for (const Piece& piece : writing_) {
+    pending_bytes_ -= piece.bytes().size();
+    charge_.Set(charge_.bytes() - piece.own.size());
+  }
+  writing_.clear();
+  failed_ = failed_ || static_cast<bool>(error);
+  if (!failed_ && !pending_.empty()) {
+    WriteNext(keep);
+  }
+  on_progress_(!failed_);
 }
 
 }  // namespace umbertrail::net
--- a/tests/front_soak/child_process.cc
+++ b/tests/front_soak/child_process.cc
@@ -48,6 +48,14 @@
   }
 }
 
+bool ChildProcess::IsRunning() const {
+  siginfo_t info{};
+  return pid_ > 0 &&
+         ::waitid(P_PID, static_cast<id_t>(pid_), &info,
+                  WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == 0;
+}
+
 int ChildProcess::Await(absl::Duration limit) {
   const absl::Time until = absl::Now() + limit;
   int status = 0;
--- a/tests/front_soak/child_process.h
+++ b/tests/front_soak/child_process.h
@@ -21,6 +21,9 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int signal) const;
+  pid_t pid() const { return pid_; }
+  // False once the program has ended.
+  bool IsRunning() const;
   // Waits for its end. Its exit status; -1 when it was killed, or had not ended
   // within `limit`.
   int Await(absl::Duration limit);
--- /dev/null
+++ b/tests/front_soak/client_crowd.h
@@ -0,0 +1,53 @@
+#ifndef UMBERTRAIL_TESTS_FRONT_SOAK_CLIENT_CROWD_H_
+#define UMBERTRAIL_TESTS_FRONT_SOAK_CLIENT_CROWD_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace umbertrail::soak {
+
+// What one client of a crowd does with its connection, which stays open.
+struct ClientScript {
+  // Sent in pieces of `piece_bytes`, one piece of each client in turn.
+  std::shared_ptr<const std::string> bytes;
+  size_t piece_bytes = 0;
+  // Size of the socket's receive buffer; 0: the system's default.
+  int receive_buffer = 0;
+};
+
+// Many client connections to one address that never read, driven by one
+// thread.
+class ClientCrowd {
+ public:
+  explicit ClientCrowd(std::string address) : address_(std::move(address)) {}
+  ~ClientCrowd();
+  ClientCrowd(const ClientCrowd&) = delete;
+  ClientCrowd& operator=(const ClientCrowd&) = delete;
+
+  // Connects one more client.
+  void Add(const ClientScript& script);
+  // Sends until each client has sent everything or has been disconnected, or no
+  // client could send anything for a second. Runs `between` after each round.
+  void Run(const std::function<void()>& between);
+  // Closes all connections.
+  void Close();
+
+ private:
+  struct Client {
+    int socket = -1;
+    ClientScript script;
+    size_t sent = 0;
+  };
+  // Whether some bytes were sent.
+  static bool SendPiece(Client& client);
+
+  const std::string address_;
+  std::vector<Client> clients_;
+};
+
+}  // namespace umbertrail::soak
+
+#endif  // UMBERTRAIL_TESTS_FRONT_SOAK_CLIENT_CROWD_H_
