--- a/tests/adapter/node_settings_test.cc
+++ b/tests/adapter/node_settings_test.cc
@@ -24,6 +24,8 @@
 limits:
   cpu_share: 0.12
   cores: 2
+  memory_mb: 160
+  max_fds: 4100
 unknown_key: 7
 bounds:
   grace_s: 8
@@ -53,6 +55,8 @@
   CHECK(settings.cpu_cores == Approx(0.24));
   // The smaller of the two bounds.
   CHECK(settings.max_apply_delay == absl::Seconds(3));
+  CHECK(settings.memory_mb == 160);
+  CHECK(settings.max_fds == 4100);
   // The default, as it is not set.
   CHECK(settings.cold_overage == 1.5);
 }
