--- a/tests/dispatch/uneven_load_test.cc
+++ b/tests/dispatch/uneven_load_test.cc
@@ -39,7 +39,7 @@
                     events,
                     absl::Milliseconds(500),
                     absl::Milliseconds(250)};
-  kind.account = account;
+  kind.account = AccountHash(account);
   kind.event_log_stddev = 0.5;
   return kind;
 }
@@ -112,7 +112,7 @@
 TEST_CASE("full targets serve more if hints are learnt") {
   std::vector<RequestClass> kinds = TenfoldOutputs(0.8);
   for (RequestClass& kind : kinds) {
-    kind.account = 1;
+    kind.account = AccountHash(1);
     kind.hint_log_stddev = 0.4;
   }
   CheckServesMore(kinds, &AsModelled);
