--- a/packages/net/src/client.cc
+++ b/packages/net/src/client.cc
@@ -292,8 +292,8 @@
 // Whether all bytes of the request have reached the peer's system. Until then
 // a read of 0 isn't the end of the response, and the connection can't take
 // another request:
-// - After a reset, Linux reports ECONNRESET once, to whichever of read and write
-//   asks first (EPIPE if the end of the stream came before the reset). Later
+// - After a reset, Linux reports ECONNRESET (EPIPE if the end of the stream
+//   came before it) once, to whichever of read and write asks first. Later
 //   reads get 0 and later writes EPIPE. So a read may return 0 after a write
 //   that failed, and before the failure is known here.
 // - A peer that closes with unread bytes sends a reset at once. One that closes
