--- a/packages/dispatch/include/umbertrail/dispatch/priority_order.h
+++ b/packages/dispatch/include/umbertrail/dispatch/priority_order.h
@@ -68,6 +68,19 @@
                                 absl::Time now,
                                 double tie);
 
+  // Meters the accounts' usage. PlaceInOrder does so, too; an instance that
+  // isn't asked for placements calls this now and then, to know the usage when
+  // it is.
+  void SampleLoad(const std::vector<Candidate>& candidates, absl::Time now) {
+    if (options_.fair_shares) {
+      shares_.Sample(candidates, now);
+    }
+  }
+
+  FairShares::Standing StandingOf(AccountHash account) const {
+    return shares_.StandingOf(account);
+  }
+
   size_t waiting() const { return line_.size(); }
 
  private:
--- a/packages/front/include/umbertrail/front/placer.h
+++ b/packages/front/include/umbertrail/front/placer.h
@@ -64,6 +64,9 @@
                    uint64_t id,
                    const PlacementReply& reply);
 
+  // Meters the usage of client accounts; see ShardOrders.
+  void SampleLoad(absl::Time now) { orders_.SampleLoad(now); }
+
  private:
   class Search;
   class ShardRequest;
--- a/packages/front/include/umbertrail/front/shard_orders.h
+++ b/packages/front/include/umbertrail/front/shard_orders.h
@@ -30,6 +30,10 @@
              absl::Time now,
              PlacementReply* reply);
 
+  // Meters the accounts' usage in all shards of which this instance is a home,
+  // so that a backup knows it when it becomes the primary.
+  void SampleLoad(absl::Time now);
+
  private:
   dispatch::PriorityOrder& OrderOf(const dispatch::Shard& shard);
   void Record(const PlacementRequest& request,
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -449,6 +449,9 @@
   state_.CountInstances(now);
   state_.CheckLinks(now);
   state_.crash_evidence.RemoveExpired(now);
+  if (state_.placer) {
+    state_.placer->SampleLoad(now);
+  }
   pending_departures_.erase(
       std::remove_if(pending_departures_.begin(), pending_departures_.end(),
                      [&](const PendingDeparture& d) { return now >= d.until; }),
--- a/packages/front/src/shard_orders.cc
+++ b/packages/front/src/shard_orders.cc
@@ -1,5 +1,6 @@
 #include "umbertrail/front/shard_orders.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -49,6 +50,26 @@
   reply->ask_again = placed.ask_again;
 }
 
+void ShardOrders::SampleLoad(absl::Time now) {
+  if (!state_.features.fair_shares || !state_.view.has_config()) {
+    return;
+  }
+  const InstanceId self(state_.settings.ip);
+  for (const auto& [id, service] : state_.view.config().services) {
+    if (!service.engine) {
+      continue;
+    }
+    for (const dispatch::Shard& shard : state_.Shards().Of(id)) {
+      const std::vector<InstanceId> homes = state_.HomesOf(shard, now);
+      if (std::find(homes.begin(), homes.end(), self) != homes.end()) {
+        OrderOf(shard).SampleLoad(
+            state_.CandidatesFor(shard, state_.settings.data_centre, {}, now),
+            now);
+      }
+    }
+  }
+}
+
 dispatch::PriorityOrder& ShardOrders::OrderOf(const dispatch::Shard& shard) {
   if (orders_.size() >= kMaxShards) {
     orders_.clear();
--- a/tests/dispatch/priority_order_test.cc
+++ b/tests/dispatch/priority_order_test.cc
@@ -202,6 +202,20 @@
   }
 }
 
+// Guards against a backup home that knows nothing of the accounts' usage when
+// it takes over.
+TEST_CASE("usage is known to a home that wasn't asked before") {
+  constexpr AccountHash kFlood{9};
+  const std::vector<Candidate> engines = {
+      Engine("a", {Prefill(absl::Seconds(9), kFlood)})};
+  PriorityOrder order({});
+  for (int i = 10; i >= 0; --i) {
+    order.SampleLoad(engines, kNow - absl::Milliseconds(400 * i));
+  }
+  CHECK(order.StandingOf(kFlood).usage > absl::Seconds(1));
+  CHECK(order.StandingOf(AccountHash(1)).usage == absl::ZeroDuration());
+}
+
 // Guards against waiting for what can't come, and against refusals of prompts
 // that have room in a moment.
 TEST_CASE("a prompt waits for memory only if all engines together have it") {
