--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -43,7 +43,8 @@
                    given, the environment names it.
   --placement=MODE How targets are chosen: predicted, or the baselines
                    least-connections and random [default: predicted].
-  --without=LIST   Placement features to switch off, separated by commas:
+  --without=LIST   Placement features to switch off, or on after a plus sign,
+                   separated by commas:
                    output-estimates, remaining-work, urgency, fair-shares,
                    waiting-line, memory-plan, ordered-search [default: ].
   --check          Check the settings and the files that they name, then exit.
--- a/packages/dispatch/include/umbertrail/dispatch/features.h
+++ b/packages/dispatch/include/umbertrail/dispatch/features.h
@@ -11,8 +11,10 @@
 namespace umbertrail::dispatch {
 
 struct Features {
-  // Expected output by OutputEstimator; else the engine's configured mean.
-  bool output_estimates = true;
+  // Expected output by OutputEstimator; else the engine's configured mean. Off,
+  // as load plays in which that mean is right show no gain over remaining_work
+  // alone. It is learnt and exchanged all the same.
+  bool output_estimates = false;
   // Slots and passes by the remaining work of each request.
   bool remaining_work = true;
   // Urgency is sent to targets and orders requests.
@@ -27,7 +29,8 @@
   bool ordered_search = true;
 };
 
-// All features but those in `without`, separated by commas: output-estimates,
+// The default features but those in `without`, separated by commas, and with
+// those there that follow a plus sign: output-estimates,
 // remaining-work, urgency, fair-shares, waiting-line, memory-plan and
 // ordered-search. Nothing if a name is unknown.
 std::optional<Features> FeaturesWithout(absl::string_view without);
--- a/packages/dispatch/src/features.cc
+++ b/packages/dispatch/src/features.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 
 namespace umbertrail::dispatch {
 namespace {
@@ -27,15 +28,16 @@
 
 std::optional<Features> FeaturesWithout(absl::string_view without) {
   Features features;
-  for (const absl::string_view name :
+  for (absl::string_view name :
        absl::StrSplit(without, ',', absl::SkipEmpty())) {
+    const bool enable = absl::ConsumePrefix(&name, "+");
     const auto* found =
         std::find_if(kFeatures.begin(), kFeatures.end(),
                      [&](const NamedFeature& one) { return one.name == name; });
     if (found == kFeatures.end()) {
       return std::nullopt;
     }
-    features.*(found->flag) = false;
+    features.*(found->flag) = enable;
   }
   return features;
 }
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -229,7 +229,9 @@
   if (!account_.empty()) {
     profile.account = AccountHash(StableHash(account_.text()));
   }
-  profile.expected_events = ExpectedEvents(now);
+  if (state_.features.output_estimates) {
+    profile.expected_events = ExpectedEvents(now);
+  }
   return profile;
 }
 
@@ -343,7 +345,7 @@
       service_ != nullptr && service_->engine ? &*service_->engine : nullptr;
   const absl::Time now = BootNow();
   const dispatch::RequestProfile profile = ProfileAt(now);
-  expected_events_ = profile.expected_events + framer_.event_count();
+  expected_events_ = ExpectedEvents(now) + framer_.event_count();
   for (const auto& [target, item] :
        dispatch::WorkItemsFor(profile, engine, placed, now)) {
     work_ids_.push_back(state_.board.Begin(target, item));
--- a/packages/front/src/relay_output.cc
+++ b/packages/front/src/relay_output.cc
@@ -21,8 +21,7 @@
 }
 
 double Relay::ExpectedEvents(absl::Time now) const {
-  if (!state_.features.output_estimates || !is_stream() ||
-      service_ == nullptr || !service_->engine) {
+  if (!is_stream() || service_ == nullptr || !service_->engine) {
     return 0;
   }
   const dispatch::OutputEstimate estimate =
