--- a/packages/dispatch/include/umbertrail/dispatch/load_board.h
+++ b/packages/dispatch/include/umbertrail/dispatch/load_board.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -44,6 +45,9 @@
   absl::Time first_event_at = absl::InfinitePast();
   // Identifies the client account; zero if there is none.
   AccountHash account;
+  // KV cache memory that it occupies there until the response ends, a helper's
+  // by reservation; none if that is the whole prompt, or isn't stated.
+  std::optional<Tokens> memory;
 };
 
 // Identifies a work item of this instance.
@@ -65,6 +69,9 @@
   // it was already.
   bool MarkPrefilled(WorkId id, absl::Time now);
   void End(WorkId id);
+  // True if the item is a helper's part with memory reserved for it, which
+  // outlasts its prefill.
+  bool HoldsReservedMemory(WorkId id) const;
 
   // Replaces the load reported by `peer` at `target`. Drops the peer's
   // reservations there.
--- a/packages/dispatch/include/umbertrail/dispatch/placement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/placement.h
@@ -9,7 +9,9 @@
 #include "absl/time/time.h"
 #include "umbertrail/base.h"
 #include "umbertrail/dispatch/config.h"
+#include "umbertrail/dispatch/features.h"
 #include "umbertrail/dispatch/load_board.h"
+#include "umbertrail/dispatch/memory_plan.h"
 
 // Target selection. Each placement has a cost: the value its caller loses if
 // the first event is late, plus the value that requests already served at the
@@ -73,8 +75,11 @@
   // Targets that prefill parts of the prompt.
   std::vector<TargetId> helpers;
   // Memory to reserve at each helper; zero if the target itself holds the whole
-  // prompt.
+  // prompt. With `tickets`, the largest of these.
   Tokens reserve_per_helper;
+  // Memory to reserve at each of `helpers`, zero at those that only prefill;
+  // empty if it is the same at all.
+  std::vector<Tokens> tickets;
   // Predicted, from now.
   absl::Duration time_to_first_event;
   // Expected loss of value for the caller and for requests already served
@@ -83,6 +88,9 @@
   double cost = 0;
 };
 
+// Memory to reserve at `decision.helpers[helper]`.
+Tokens TicketOf(const PlacementDecision& decision, size_t helper);
+
 struct PlacementResult {
   std::optional<PlacementDecision> decision;
   // If nothing was placed: time until capacity is expected, from now.
@@ -90,6 +98,9 @@
   // The earliest first event that any engine could have given; infinite if none
   // was evaluated.
   absl::Duration min_time_to_first_event = absl::InfiniteDuration();
+  // Why the prompt's memory couldn't be planned; none if it was, or needed no
+  // plan.
+  std::optional<PlanBound> plan_bound;
 };
 
 // Value of serving a prompt of that size on time; a short one has about 1.
@@ -122,7 +133,8 @@
                       const EngineModel* engine,
                       const std::vector<Candidate>& candidates,
                       absl::Time now,
-                      double tie);
+                      double tie,
+                      const Features& features = Features());
 
 // The load that a request sent at `now` adds at each of its targets: first
 // `decision.target`, then each helper.
--- a/packages/dispatch/src/load_board.cc
+++ b/packages/dispatch/src/load_board.cc
@@ -45,6 +45,12 @@
   NoteChange(target);
 }
 
+bool LoadBoard::HoldsReservedMemory(WorkId id) const {
+  const auto found = own_.find(id);
+  return found != own_.end() && found->second.item.is_helper &&
+         found->second.item.memory.value_or(Tokens(0)) > Tokens(0);
+}
+
 void LoadBoard::SetPeerLoad(const InstanceId& peer,
                             const TargetId& target,
                             std::vector<WorkItem> items) {
--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -114,7 +114,8 @@
                             const EngineModel& engine,
                             const Candidate& candidate,
                             double value,
-                            absl::Time now) {
+                            absl::Time now,
+                            const Features& features) {
   const int occupied = Occupied(candidate);
   const absl::Duration prefill = PrefillTime(engine, request.prompt);
   ScoredCandidate scored;
@@ -135,6 +136,10 @@
     scored.time_to_first_event +=
         stream * (occupied - candidate.slots + 1) / candidate.slots;
   }
+  if (features.memory_plan && !NeedsMemoryPlan(engine, request.prompt)) {
+    scored.time_to_first_event +=
+        MemoryWait(engine, candidate.work, request.prompt, now);
+  }
   scored.cost =
       kLateValueLoss * value *
       LatenessFactor(request.elapsed + scored.time_to_first_event, request.aim);
@@ -173,17 +178,37 @@
       });
 }
 
+// Maximum targets with a long prefill at once.
+size_t MaxLongPrefills(const std::vector<ScoredCandidate>& sorted,
+                       const Features& features) {
+  double fraction_free = kFreeOfLongPrefillFraction;
+  if (features.memory_plan) {
+    size_t streams = 0;
+    for (const ScoredCandidate& one : sorted) {
+      streams += static_cast<size_t>(
+          std::count_if(one.candidate->work.begin(), one.candidate->work.end(),
+                        [](const WorkItem& item) {
+                          return !item.is_helper &&
+                                 item.max_event_gap < kMinPrefillForHelpers;
+                        }));
+    }
+    fraction_free = FractionFreeOfLongPrefills(streams, sorted.size(),
+                                               sorted.front().candidate->slots);
+  }
+  return static_cast<size_t>(
+      std::ceil((1 - fraction_free) * static_cast<double>(sorted.size())));
+}
+
 // Maximum helpers for one prompt, so that enough targets stay free of long
 // prefills.
-size_t MaxHelpers(const std::vector<ScoredCandidate>& sorted) {
-  const auto prefilling = std::count_if(sorted.begin(), sorted.end(),
-                                        [](const ScoredCandidate& one) {
-                                          return HasLongPrefill(*one.candidate);
-                                        });
-  const double may_prefill = std::ceil((1 - kFreeOfLongPrefillFraction) *
-                                       static_cast<double>(sorted.size()));
-  return static_cast<size_t>(
-      std::max(0.0, may_prefill - static_cast<double>(prefilling) - 1));
+size_t MaxHelpers(const std::vector<ScoredCandidate>& sorted,
+                  size_t max_long_prefills) {
+  const auto prefilling = static_cast<size_t>(std::count_if(
+      sorted.begin(), sorted.end(), [](const ScoredCandidate& one) {
+        return HasLongPrefill(*one.candidate);
+      }));
+  return max_long_prefills > prefilling ? max_long_prefills - prefilling - 1
+                                        : 0;
 }
 
 // Adds helpers for a long prompt: as many as its memory needs, and more while
@@ -192,6 +217,7 @@
                 const EngineModel& engine,
                 const std::vector<ScoredCandidate>& sorted,
                 double value,
+                size_t max_long_prefills,
                 PlacementDecision* decision) {
   const absl::Duration prefill = PrefillTime(engine, request.prompt);
   const size_t needed = HelpersForMemory(engine, request.prompt);
@@ -208,7 +234,7 @@
       LatenessFactor(request.elapsed + first.time_to_first_event, request.aim);
   const size_t most =
       std::min(needed == 0 ? kMaxHelpersForSpeed : kMaxHelpersForMemory,
-               MaxHelpers(sorted));
+               MaxHelpers(sorted, max_long_prefills));
   for (size_t i = 1; i < sorted.size() && helpers.size() < most; ++i) {
     const Candidate& helper = *sorted[i].candidate;
     if (helper.cold || helper.failure_rate > kMaxHelperFailureRate ||
@@ -237,8 +263,108 @@
   return decision->helpers.size() >= needed;
 }
 
+// How long the caller still waits for a first event.
+absl::Duration RemainingPatience(const RequestProfile& request) {
+  return std::min(request.time_remaining,
+                  Patience(request.aim, request.max_event_gap)) -
+         request.elapsed;
+}
+
+// Cost of a prompt whose first event comes after `time_to_first_event`.
+double LatenessCost(const RequestProfile& request,
+                    double value,
+                    absl::Duration time_to_first_event) {
+  return kLateValueLoss * value *
+         LatenessFactor(request.elapsed + time_to_first_event, request.aim);
+}
+
+PlanTarget ToPlanTarget(const RequestProfile& request,
+                        const EngineModel& engine,
+                        const ScoredCandidate& scored,
+                        double value,
+                        absl::Time now) {
+  const Candidate& candidate = *scored.candidate;
+  PlanTarget target;
+  target.reservable = ReservableMemory(engine, candidate.work);
+  target.memory_wait = MemoryWait(engine, candidate.work, request.prompt, now);
+  target.slowdown = candidate.slowdown;
+  target.wait = scored.time_to_first_event -
+                PrefillTime(engine, request.prompt) * candidate.slowdown;
+  target.cost =
+      scored.cost - LatenessCost(request, value, scored.time_to_first_event);
+  target.may_help = !candidate.cold && !candidate.excluded_as_helper &&
+                    candidate.failure_rate <= kMaxHelperFailureRate;
+  target.has_long_prefill = HasLongPrefill(candidate);
+  return target;
+}
+
+// Chooses the target and the helpers of a prompt whose memory must be planned.
+std::optional<PlanBound> DecideByPlan(
+    const RequestProfile& request,
+    const EngineModel& engine,
+    const std::vector<ScoredCandidate>& sorted,
+    double value,
+    size_t max_long_prefills,
+    absl::Time now,
+    PlacementDecision* decision) {
+  PlanRequest plan_request;
+  plan_request.prompt = request.prompt;
+  plan_request.prefill = PrefillTime(engine, request.prompt);
+  plan_request.max_long_prefills = max_long_prefills;
+  plan_request.max_time_to_first_event =
+      RemainingPatience(request) * kUsablePatienceFraction;
+  plan_request.helper_cost = kHelperCost;
+  plan_request.lateness_cost = [&](absl::Duration time_to_first_event) {
+    return LatenessCost(request, value, time_to_first_event);
+  };
+  std::vector<PlanTarget> targets;
+  targets.reserve(sorted.size());
+  for (const ScoredCandidate& scored : sorted) {
+    targets.push_back(ToPlanTarget(request, engine, scored, value, now));
+  }
+  const MemoryPlanResult result = PlanMemory(plan_request, targets);
+  if (const auto* bound = std::get_if<PlanBound>(&result)) {
+    return *bound;
+  }
+  const auto& plan = std::get<MemoryPlan>(result);
+  decision->target = sorted[plan.first].candidate->id;
+  decision->time_to_first_event = plan.time_to_first_event;
+  decision->cost = plan.cost;
+  for (const PlanPart& part : plan.helpers) {
+    decision->helpers.push_back(sorted[part.target].candidate->id);
+    decision->tickets.push_back(part.ticket);
+    decision->reserve_per_helper =
+        std::max(decision->reserve_per_helper, part.ticket);
+  }
+  return std::nullopt;
+}
+
+// Decides on the helpers of a long prompt. False if it can't be placed.
+bool DecideHelpers(const RequestProfile& request,
+                   const EngineModel& engine,
+                   const std::vector<ScoredCandidate>& sorted,
+                   double value,
+                   absl::Time now,
+                   const Features& features,
+                   PlacementResult* result,
+                   PlacementDecision* decision) {
+  const size_t max_long_prefills = MaxLongPrefills(sorted, features);
+  if (!features.memory_plan || !NeedsMemoryPlan(engine, request.prompt)) {
+    return AddHelpers(request, engine, sorted, value, max_long_prefills,
+                      decision);
+  }
+  result->plan_bound = DecideByPlan(request, engine, sorted, value,
+                                    max_long_prefills, now, decision);
+  return !result->plan_bound;
+}
+
 }  // namespace
 
+Tokens TicketOf(const PlacementDecision& decision, size_t helper) {
+  return decision.tickets.empty() ? decision.reserve_per_helper
+                                  : decision.tickets.at(helper);
+}
+
 std::optional<PlacementMode> ParsePlacementMode(absl::string_view name) {
   if (name == "predicted") {
     return PlacementMode::kPredicted;
@@ -335,8 +461,16 @@
   }
   std::vector<std::pair<TargetId, WorkItem>> work = {{decision.target, item}};
   item.is_helper = true;
-  for (const TargetId& helper : decision.helpers) {
-    work.emplace_back(helper, item);
+  int64_t reserved = 0;
+  for (size_t i = 0; i < decision.helpers.size(); ++i) {
+    const Tokens ticket = TicketOf(decision, i);
+    item.memory = ticket;
+    reserved += ticket.value();
+    work.emplace_back(decision.helpers[i], item);
+  }
+  if (!decision.helpers.empty()) {
+    work.front().second.memory =
+        Tokens(std::max<int64_t>(0, request.prompt.value() - reserved));
   }
   return work;
 }
@@ -345,15 +479,13 @@
                       const EngineModel* engine,
                       const std::vector<Candidate>& candidates,
                       absl::Time now,
-                      double tie) {
+                      double tie,
+                      const Features& features) {
   const double value = RequestValue(request.prompt);
   std::vector<ScoredCandidate> scored;
   scored.reserve(candidates.size());
   absl::Duration min_wait = kMaxRetryAfter;
-  const absl::Duration patience =
-      std::min(request.time_remaining,
-               Patience(request.aim, request.max_event_gap)) -
-      request.elapsed;
+  const absl::Duration patience = RemainingPatience(request);
   // Then the predicted time is checked after helpers are added.
   const bool can_use_helpers = CanUseHelpers(request, engine);
   PlacementResult result;
@@ -365,8 +497,9 @@
       continue;
     }
     ScoredCandidate one =
-        engine != nullptr ? ScoreEngine(request, *engine, candidate, value, now)
-                          : ScorePlain(candidate);
+        engine != nullptr
+            ? ScoreEngine(request, *engine, candidate, value, now, features)
+            : ScorePlain(candidate);
     if (engine != nullptr) {
       result.min_time_to_first_event =
           std::min(result.min_time_to_first_event, one.time_to_first_event);
@@ -400,7 +533,8 @@
   decision.time_to_first_event = scored.front().time_to_first_event;
   decision.cost = scored.front().cost;
   if (can_use_helpers &&
-      (!AddHelpers(request, *engine, scored, value, &decision) ||
+      (!DecideHelpers(request, *engine, scored, value, now, features, &result,
+                      &decision) ||
        decision.time_to_first_event > patience * kUsablePatienceFraction)) {
     result.retry_after = std::clamp(
         decision.time_to_first_event - patience * kUsablePatienceFraction,
--- a/packages/front/include/umbertrail/front/memory_reservation.h
+++ b/packages/front/include/umbertrail/front/memory_reservation.h
@@ -10,6 +10,12 @@
 
 namespace umbertrail::front {
 
+// Memory to reserve at a target.
+struct MemoryTicket {
+  TargetId target;
+  Tokens tokens;
+};
+
 // An all-or-nothing reservation of KV cache memory at several targets for one
 // prompt. It is leased for seconds and renewed while in use, so that memory
 // reserved by a failed instance or a lost order expires by itself.
@@ -21,10 +27,12 @@
   using Callback = std::function<void(const TargetId* failed_target)>;
 
   // `name` must be unique among the reservations of all instances.
-  MemoryReservation(State& state, std::string name, Tokens tokens_per_target);
+  MemoryReservation(State& state, std::string name);
 
-  void Reserve(const std::vector<TargetId>& targets, Callback done);
-  // Releases all memory, including that of reservations still in flight.
+  // The tickets' targets must be known to the instance's view.
+  void Reserve(const std::vector<MemoryTicket>& tickets, Callback done);
+  // Releases all memory, including that of reservations still in flight. A
+  // release that fails is sent once more.
   void Release();
   // The same at all targets.
   const std::string& name() const { return name_; }
@@ -34,16 +42,18 @@
   struct Share {
     TargetId target;
     std::string address;
+    Tokens tokens;
     bool held = false;
+    bool release_repeated = false;
   };
 
   void Send(size_t share, bool release);
   void OnOrderFinished(size_t share, bool release, bool done);
+  void OnReleaseFailed(size_t share);
   void Renew();
 
   State& state_;
   std::string name_;
-  Tokens tokens_per_target_;
   std::vector<Share> shares_;
   std::vector<std::shared_ptr<Order>> orders_;
   Callback callback_;
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -41,6 +41,12 @@
   void CountRetry(bool granted);
   // Records the time from a request's arrival to its stream's first event.
   void ObserveFirstEvent(Tokens prompt, absl::Duration after);
+  // Counts a plan for a prompt that nearly fills an engine's memory, or exceeds
+  // it, by what bound it.
+  void CountMemoryPlan(absl::string_view outcome);
+  // Counts memory reserved for a request, or what became of it: "granted",
+  // "refused" by a target, "unused" when the request was never sent.
+  void CountReservation(absl::string_view result);
   void CountStoreCall(absl::string_view kind);
   // `result` is "answered" or "silent" for a home's reply, "here" for a local
   // decision.
--- a/packages/front/include/umbertrail/front/relay.h
+++ b/packages/front/include/umbertrail/front/relay.h
@@ -102,9 +102,15 @@
   void Send(const dispatch::PlacementDecision& placed);
   // Resets what is known of the former attempt.
   void BeginAttempt(absl::Time now);
+  // A target that did not grant its part of the reservation for `placed`.
+  void OnReservationRefused(const TargetId& target);
+  // The helpers of an attempt, with the memory reserved for it.
+  std::vector<adapter::HelperAddress> HelperAddresses(
+      const dispatch::PlacementDecision& placed) const;
   void RegisterWork(const dispatch::PlacementDecision& placed);
+  // After the prefill helpers only hold the memory that is reserved there.
+  void EndHelperPrefills();
   void ReleaseTargetResources();
-  void ReleaseReservation();
   // Retries at another target after a failed attempt, or refuses.
   void RetryOrRefuse(dispatch::Refusal refusal);
   // Whether a retry is allowed, or the reason why not.
@@ -190,6 +196,9 @@
   std::shared_ptr<net::ClientConnection> connection_;
   std::vector<dispatch::WorkId> work_ids_;
   std::shared_ptr<MemoryReservation> reservation_;
+  // The request was sent with the reservation.
+  bool reservation_used_ = false;
+  int refused_reservations_ = 0;
   // Targets not to be used as helpers for this request.
   std::vector<TargetId> excluded_helpers_;
   // Set while a response arrives that ends with its connection.
--- a/packages/front/src/memory_reservation.cc
+++ b/packages/front/src/memory_reservation.cc
@@ -36,7 +36,7 @@
     const adapter::OrderCall call =
         release_ ? adapter::ReleaseOrder(share.address, owner_->name_)
                  : adapter::ReserveOrder(share.address, owner_->name_,
-                                         owner_->tokens_per_target_, kLease);
+                                         share.tokens, kLease);
     connection_ = owner_->state_.pool.Acquire(share.target, *endpoint);
     connection_->Call(*endpoint, kConnectTimeout, kAckTimeout,
                       net::WriteRequestHead(call.head, call.body.size()),
@@ -79,20 +79,18 @@
   net::Timer alarm_;
 };
 
-MemoryReservation::MemoryReservation(State& state,
-                                     std::string name,
-                                     Tokens tokens_per_target)
-    : state_(state),
-      name_(std::move(name)),
-      tokens_per_target_(tokens_per_target),
-      alarm_(state.loop) {}
+MemoryReservation::MemoryReservation(State& state, std::string name)
+    : state_(state), name_(std::move(name)), alarm_(state.loop) {}
 
-void MemoryReservation::Reserve(const std::vector<TargetId>& targets,
+void MemoryReservation::Reserve(const std::vector<MemoryTicket>& tickets,
                                 Callback done) {
   callback_ = std::move(done);
-  for (const TargetId& target : targets) {
-    const dispatch::TargetEntry* entry = state_.view.Find(target);
-    shares_.push_back({target, entry == nullptr ? "" : entry->address, false});
+  for (const MemoryTicket& ticket : tickets) {
+    Share share;
+    share.target = ticket.target;
+    share.address = state_.view.Find(ticket.target)->address;
+    share.tokens = ticket.tokens;
+    shares_.push_back(std::move(share));
   }
   for (size_t i = 0; i < shares_.size(); ++i) {
     Send(i, /*release=*/false);
@@ -108,10 +106,7 @@
 void MemoryReservation::OnOrderFinished(size_t share, bool release, bool done) {
   if (release) {
     if (!done) {
-      state_.log.Write(EventLog::Level::kImportant, "release_unanswered",
-                       {{"reservation", absl::string_view(name_)},
-                        {"target", shares_[share].target.text()}},
-                       BootNow());
+      OnReleaseFailed(share);
     }
     return;
   }
@@ -132,7 +127,8 @@
     callback_ = nullptr;
     state_.log.Write(EventLog::Level::kImportant, "no_memory",
                      {{"reservation", absl::string_view(name_)},
-                      {"target", failed_target.text()}},
+                      {"target", failed_target.text()},
+                      {"tokens", shares_[share].tokens.value()}},
                      BootNow());
     // The target may have reserved it although the order failed.
     shares_[share].held = true;
@@ -149,6 +145,18 @@
   }
 }
 
+void MemoryReservation::OnReleaseFailed(size_t share) {
+  if (!shares_[share].release_repeated) {
+    shares_[share].release_repeated = true;
+    Send(share, /*release=*/true);
+    return;
+  }
+  state_.log.Write(EventLog::Level::kImportant, "release_unanswered",
+                   {{"reservation", absl::string_view(name_)},
+                    {"target", shares_[share].target.text()}},
+                   BootNow());
+}
+
 void MemoryReservation::Renew() {
   for (size_t i = 0; i < shares_.size(); ++i) {
     Send(i, /*release=*/false);
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -69,6 +69,16 @@
           .Help(
               "Retries asked of the shared budget, by whether it had any left")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& memory_plans =
+      prometheus::BuildCounter()
+          .Name("umbertrail_memory_plans_total")
+          .Help("Plans for prompts that need memory planned, by outcome")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& reservations =
+      prometheus::BuildCounter()
+          .Name("umbertrail_memory_reservations_total")
+          .Help("Reservations of targets' memory, by result")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("umbertrail_store_calls_total")
@@ -143,6 +153,14 @@
       .Increment();
 }
 
+void Metrics::CountMemoryPlan(absl::string_view outcome) {
+  families_->memory_plans.Add({{"outcome", Copy(outcome)}}).Increment();
+}
+
+void Metrics::CountReservation(absl::string_view result) {
+  families_->reservations.Add({{"result", Copy(result)}}).Increment();
+}
+
 void Metrics::CountStoreCall(absl::string_view kind) {
   families_->store_calls.Add({{"kind", Copy(kind)}}).Increment();
 }
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -12,6 +12,8 @@
 constexpr double kMillicoresPerCore = 1000;
 // No instance sends more buckets.
 constexpr uint32_t kMaxBuckets = 65536;
+// No engine has more memory, in tokens.
+constexpr uint64_t kMaxMemory = uint64_t{1} << 40;
 // No response has more events.
 constexpr double kMaxEvents = 1e6;
 
@@ -20,6 +22,10 @@
       std::clamp<int64_t>(absl::ToInt64Milliseconds(duration), 0, UINT32_MAX));
 }
 
+Tokens ToTokens(uint64_t tokens) {
+  return Tokens(static_cast<int64_t>(std::min(tokens, kMaxMemory)));
+}
+
 // An unknown number of events if the stated one is no plausible number.
 double ToEvents(float events) {
   return std::isfinite(events) && events > 0
@@ -87,6 +93,9 @@
         ToMillis(now - item.first_event_at + absl::Milliseconds(1));
   }
   work.account = item.account.value();
+  if (item.memory) {
+    work.memory_plus_1 = static_cast<uint64_t>(item.memory->value()) + 1;
+  }
   return work;
 }
 
@@ -111,6 +120,9 @@
         now - absl::Milliseconds(work.first_event_ms_ago_plus_1 - 1);
   }
   item.account = AccountHash(work.account);
+  if (work.memory_plus_1 > 0) {
+    item.memory = ToTokens(work.memory_plus_1 - 1);
+  }
   return item;
 }
 
@@ -302,6 +314,9 @@
     wire.first_event_ms = ToMillis(placed.time_to_first_event);
     wire.cost = static_cast<float>(placed.cost);
     wire.charged_to_limit = placed.charged_to_limit;
+    for (const Tokens ticket : placed.tickets) {
+      wire.tickets.push_back(static_cast<uint64_t>(ticket.value()));
+    }
   }
   wire.retry_after_ms = ToMillis(reply.result.retry_after);
   if (reply.result.min_time_to_first_event != absl::InfiniteDuration()) {
@@ -323,6 +338,12 @@
     placed.time_to_first_event = absl::Milliseconds(wire.first_event_ms);
     placed.cost = wire.cost;
     placed.charged_to_limit = wire.charged_to_limit;
+    // Malformed if they aren't the helpers': then the largest at all of them.
+    if (wire.tickets.size() == wire.helpers.size()) {
+      for (const uint64_t ticket : wire.tickets) {
+        placed.tickets.push_back(ToTokens(ticket));
+      }
+    }
     reply.result.decision = std::move(placed);
   }
   reply.result.retry_after = absl::Milliseconds(wire.retry_after_ms);
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -36,6 +36,9 @@
   uint32_t first_event_ms_ago_plus_1 = 0;
   // Hash of the client account; 0: none.
   uint64_t account = 0;
+  // Tokens of memory that it occupies until the response ends, plus one; 0: as
+  // many as `prompt`.
+  uint64_t memory_plus_1 = 0;
   MSGPACK_DEFINE_ARRAY(age_ms,
                        prefill_ms,
                        flags,
@@ -46,7 +49,8 @@
                        urgency,
                        expected_events,
                        first_event_ms_ago_plus_1,
-                       account);
+                       account,
+                       memory_plus_1);
 };
 
 // The sender's work at a target.
@@ -140,7 +144,7 @@
   // Empty: no target can serve the request in time.
   std::string target;
   std::vector<std::string> helpers;
-  // Tokens of memory to reserve at each helper.
+  // Tokens of memory to reserve at each helper; with `tickets`, the largest.
   uint64_t reserve_per_helper = 0;
   uint32_t first_event_ms = 0;
   float cost = 0;
@@ -149,6 +153,9 @@
   int64_t earliest_first_event_ms = -1;
   // The request is charged to the rate limit that the target states.
   bool charged_to_limit = false;
+  // Tokens of memory to reserve at each of `helpers`; empty:
+  // `reserve_per_helper` at all.
+  std::vector<uint64_t> tickets;
   MSGPACK_DEFINE_ARRAY(id,
                        candidates,
                        target,
@@ -158,7 +165,8 @@
                        cost,
                        retry_after_ms,
                        earliest_first_event_ms,
-                       charged_to_limit);
+                       charged_to_limit,
+                       tickets);
 };
 
 // A target that announced its departure, identified by its birth time.
--- a/packages/front/src/placer.cc
+++ b/packages/front/src/placer.cc
@@ -17,6 +17,40 @@
 // Shards asked beside the first.
 constexpr size_t kAdditionalShards = 2;
 
+// Logs and counts the plan of a prompt whose memory must be planned.
+void NoteMemoryPlan(State& state,
+                    const PlacementRequest& request,
+                    const PlacementReply& reply,
+                    absl::Time now) {
+  const dispatch::EngineModel* engine = state.EngineFor(request);
+  if (!state.features.memory_plan || engine == nullptr ||
+      !dispatch::NeedsMemoryPlan(*engine, request.profile.prompt)) {
+    return;
+  }
+  const auto& decision = reply.result.decision;
+  const std::optional<dispatch::PlanBound> bound = reply.result.plan_bound;
+  const absl::string_view outcome = decision ? "planned"
+                                    : bound  ? dispatch::NameOf(*bound)
+                                             : "time";
+  state.metrics.CountMemoryPlan(outcome);
+  const auto holders =
+      decision
+          ? std::count_if(decision->tickets.begin(), decision->tickets.end(),
+                          [](Tokens ticket) { return ticket > Tokens(0); })
+          : 0;
+  state.log.Write(
+      EventLog::Level::kNormal, "memory_plan",
+      {{"service", request.shard.service.text()},
+       {"prompt", request.profile.prompt.value()},
+       {"outcome", outcome},
+       {"targets", static_cast<int64_t>(reply.candidate_count)},
+       {"helpers",
+        static_cast<int64_t>(decision ? decision->helpers.size() : 0)},
+       {"tickets", static_cast<int64_t>(holders)},
+       {"largest_ticket", decision ? decision->reserve_per_helper.value() : 0}},
+      now);
+}
+
 bool IsBetter(const PlacementReply& reply, const PlacementReply& other) {
   if (!reply.result.decision || !other.result.decision) {
     return reply.result.decision.has_value();
@@ -241,8 +275,10 @@
                   request.excluded_helpers.end(),
                   candidate.id) != request.excluded_helpers.end();
   }
-  reply.result = dispatch::Place(request.profile, state_.EngineFor(request),
-                                 candidates, now, state_.Random());
+  reply.result =
+      dispatch::Place(request.profile, state_.EngineFor(request), candidates,
+                      now, state_.Random(), state_.features);
+  NoteMemoryPlan(state_, request, reply, now);
   return reply;
 }
 
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -17,8 +17,6 @@
 
 // No attempt is started with less time left than this.
 constexpr absl::Duration kMinAttemptTime = absl::Milliseconds(30);
-// Most helpers excluded before a failed reservation refuses the request.
-constexpr size_t kMaxReservationFailures = 3;
 // Another instance accepts a connection, and acknowledges bytes, within this.
 constexpr absl::Duration kPeerConnectTimeout = absl::Milliseconds(150);
 constexpr absl::Duration kPeerAckTimeout = absl::Seconds(1);
@@ -312,54 +310,6 @@
   SendTo(*reply.result.decision);
 }
 
-void Relay::ReserveAndSend(const dispatch::PlacementDecision& placed) {
-  reservation_ = std::make_shared<MemoryReservation>(
-      state_, state_.NextReservation(), placed.reserve_per_helper);
-  reservation_->Reserve(placed.helpers, [weak = weak_from_this(), placed](
-                                            const TargetId* failed_target) {
-    const auto self = weak.lock();
-    if (!self || self->finished_) {
-      return;
-    }
-    if (failed_target == nullptr) {
-      self->Send(placed);
-      return;
-    }
-    self->reservation_.reset();
-    self->excluded_helpers_.push_back(*failed_target);
-    if (self->excluded_helpers_.size() <= kMaxReservationFailures) {
-      self->PlaceAndSend();
-    } else {
-      self->Refuse(Refusal::kOverloaded, absl::Seconds(1));
-    }
-  });
-}
-
-void Relay::RegisterWork(const dispatch::PlacementDecision& placed) {
-  const dispatch::EngineModel* engine =
-      service_ != nullptr && service_->engine ? &*service_->engine : nullptr;
-  const absl::Time now = BootNow();
-  for (const auto& [target, item] :
-       dispatch::WorkItemsFor(ProfileAt(now), engine, placed, now)) {
-    work_ids_.push_back(state_.board.Begin(target, item));
-  }
-}
-
-void Relay::ReleaseTargetResources() {
-  for (const dispatch::WorkId id : work_ids_) {
-    state_.board.End(id);
-  }
-  work_ids_.clear();
-  ReleaseReservation();
-}
-
-void Relay::ReleaseReservation() {
-  if (reservation_) {
-    reservation_->Release();
-    reservation_.reset();
-  }
-}
-
 void Relay::Send(const dispatch::PlacementDecision& placed) {
   const absl::Time now = BootNow();
   const dispatch::TargetEntry* entry = state_.view.Find(placed.target);
@@ -374,7 +324,7 @@
   }
   if (!placed.charged_to_limit && !state_.ChargeLimit(*entry, now)) {
     // The target stated a limit during placement or reservation.
-    ReleaseReservation();
+    ReleaseTargetResources();
     tried_targets_.push_back(placed.target);
     PlaceAndSend();
     return;
@@ -393,15 +343,12 @@
   if (response_started_) {
     send.last_event = framer_.last_event_id();
   }
-  for (const TargetId& helper : placed.helpers) {
-    const dispatch::TargetEntry* found = state_.view.Find(helper);
-    if (found != nullptr) {
-      send.helpers.push_back(
-          {found->address, reservation_ ? reservation_->name() : ""});
-    }
-  }
+  send.helpers = HelperAddresses(placed);
   const net::RequestHead head = adapter::WriteRequest(client_->request(), send);
-  RegisterWork(placed);
+  if (work_ids_.empty()) {
+    RegisterWork(placed);
+  }
+  reservation_used_ = true;
   state_.rates[target_].NoteSend(now);
   predicted_first_event_ = placed.time_to_first_event;
   BeginAttempt(now);
--- a/packages/front/src/relay_answer.cc
+++ b/packages/front/src/relay_answer.cc
@@ -222,11 +222,7 @@
   if (!first) {
     return;
   }
-  // Helpers have finished their part of the prefill and hold nothing else.
-  while (work_ids_.size() > 1) {
-    state_.board.End(work_ids_.back());
-    work_ids_.pop_back();
-  }
+  EndHelperPrefills();
   state_.RecordFirstEvent(target_, predicted_first_event_, now - sent_at_);
   if (!response_started_) {
     state_.metrics.ObserveFirstEvent(facts_.prompt, now - started_);
