--- a/tests/dispatch/memory_plan_load_test.cc
+++ b/tests/dispatch/memory_plan_load_test.cc
@@ -83,10 +83,13 @@
     "planned memory serves more of the longest prompts, short as before") {
   const Sums off = SimulateAll(false);
   const Sums on = SimulateAll(true);
-  CAPTURE(off.longs.refused, on.longs.refused, off.longest.refused,
-          on.longest.refused, off.shorts.on_time, on.shorts.on_time,
-          off.reservations.orders, on.reservations.orders,
-          off.reservations.refused_orders, on.reservations.refused_orders);
+  CAPTURE(off.longs.submitted, on.longs.submitted, off.longs.on_time,
+          on.longs.on_time, off.longest.submitted, on.longest.submitted,
+          off.shorts.submitted, on.shorts.submitted, off.longs.refused,
+          on.longs.refused, off.longest.refused, on.longest.refused,
+          off.shorts.on_time, on.shorts.on_time, off.reservations.orders,
+          on.reservations.orders, off.reservations.refused_orders,
+          on.reservations.refused_orders);
   CHECK(Share(on.longest.served(), on.longest) >
         Share(off.longest.served(), off.longest));
   CHECK(Share(on.longs.on_time, on.longs) >
--- a/tests/front/memory_reservation_test.cc
+++ b/tests/front/memory_reservation_test.cc
@@ -26,6 +26,16 @@
       : reserve_status_(reserve_status),
         server_([this](FakeConnection& connection) { Serve(connection); }) {}
 
+  // Releases that are answered with an error before one succeeds.
+  void FailReleases(int count) {
+    absl::MutexLock lock(&mutex_);
+    failed_releases_ = count;
+  }
+  // Tokens of the last reserve order.
+  int64_t reserved() const {
+    absl::MutexLock lock(&mutex_);
+    return reserved_;
+  }
   std::string address() const { return server_.address(); }
   int Count(const std::string& operation) const {
     absl::MutexLock lock(&mutex_);
@@ -44,11 +54,16 @@
       const auto body =
           nlohmann::json::parse(request.substr(request.find("\r\n\r\n") + 4));
       const auto operation = body["operation"].get<std::string>();
+      int status = reserve_status_;
       {
         absl::MutexLock lock(&mutex_);
         operations_.push_back(operation);
+        if (operation == "reserve") {
+          reserved_ = body["tokens"].get<int64_t>();
+        } else {
+          status = failed_releases_-- > 0 ? 500 : 200;
+        }
       }
-      const int status = operation == "reserve" ? reserve_status_ : 200;
       if (status == 0) {
         connection.AwaitClose();
         return false;
@@ -61,6 +76,8 @@
   const int reserve_status_;
   mutable absl::Mutex mutex_;
   std::vector<std::string> operations_;
+  int failed_releases_ = 0;
+  int64_t reserved_ = 0;
   FakeServer server_;
 };
 
@@ -85,6 +102,10 @@
       loop_.run_for(std::chrono::milliseconds(2));
     }
   }
+  void RunFor(absl::Duration duration) {
+    loop_.restart();
+    loop_.run_for(absl::ToChronoMilliseconds(duration));
+  }
 
  private:
   void Add(const std::string& id, const FakeTarget& target) {
@@ -137,6 +158,23 @@
            fixture.two.Count("release") == 1;
   });
   CHECK(fixture.one.Count("reserve") == 1);
+  CHECK(fixture.one.reserved() == 100000);
+  CHECK(fixture.two.reserved() == 60000);
+}
+
+// Otherwise the memory would stay reserved until its lease expires.
+TEST_CASE("a failed release is sent again, once") {
+  ReservationFixture fixture(200);
+  fixture.two.FailReleases(100);
+  fixture.state.RunUntil([&] { return fixture.outcome.finished; });
+  fixture.memory->Release();
+  fixture.state.RunUntil([&] {
+    return fixture.one.Count("release") >= 1 &&
+           fixture.two.Count("release") >= 2;
+  });
+  fixture.state.RunFor(absl::Milliseconds(50));
+  CHECK(fixture.one.Count("release") == 1);
+  CHECK(fixture.two.Count("release") == 2);
 }
 
 TEST_CASE("if one target has no memory, none stays reserved") {
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -32,6 +32,11 @@
   CHECK(decoded.expected_events == Approx(31.5));
   CHECK(decoded.first_event_at == item.first_event_at);
   CHECK(decoded.account == AccountHash(77));
+  CHECK_FALSE(decoded.memory);
+  for (const Tokens memory : {Tokens(0), Tokens(93000)}) {
+    item.memory = memory;
+    CHECK(FromWire(ToWire(item, kNow), kNow).memory == memory);
+  }
 }
 
 // Guards against a build that fails to read the messages of an older one, whose
@@ -46,6 +51,36 @@
   CHECK(decoded.expected_events == 0);
   CHECK(decoded.first_event_at == absl::InfinitePast());
   CHECK(decoded.account == AccountHash(0));
+  CHECK_FALSE(decoded.memory);
+}
+
+// A helper of an older asker reserves the same memory everywhere, which must
+// then suffice; a reply of an older home states no tickets.
+TEST_CASE("tickets survive encoding and decoding, and may be absent") {
+  PlacementReply reply;
+  dispatch::PlacementDecision placed;
+  placed.target = TargetId("t");
+  placed.helpers = {TargetId("h"), TargetId("i")};
+  placed.tickets = {Tokens(130000), Tokens(0)};
+  placed.reserve_per_helper = Tokens(130000);
+  reply.result.decision = placed;
+  PeerPlacementReply wire = ToWire(1, reply);
+  CHECK(FromWire(wire).result.decision->tickets == placed.tickets);
+  wire.tickets.pop_back();
+  CHECK(FromWire(wire).result.decision->tickets.empty());
+  wire.tickets.clear();
+  const PlacementReply older = FromWire(wire);
+  CHECK(dispatch::TicketOf(*older.result.decision, 1) == Tokens(130000));
+
+  msgpack::sbuffer bytes;
+  msgpack::pack(bytes, std::make_tuple(7U, 3U, std::string("t"),
+                                       std::vector<std::string>{"h"}, 90000U,
+                                       1900U, 0.5F, 0U, -1, false));
+  const auto decoded = msgpack::unpack(bytes.data(), bytes.size())
+                           .get()
+                           .as<PeerPlacementReply>();
+  CHECK(dispatch::TicketOf(*FromWire(decoded).result.decision, 0) ==
+        Tokens(90000));
 }
 
 TEST_CASE("the fleet's size survives encoding and decoding") {
