--- a/packages/dispatch/src/memory_plan.cc
+++ b/packages/dispatch/src/memory_plan.cc
@@ -150,9 +150,6 @@
     if (target.memory_wait == absl::InfiniteDuration()) {
       continue;
     }
-    if (!LeavesEnoughFree(request, targets, {i})) {
-      continue;
-    }
     MemoryPlan plan;
     plan.first = i;
     plan.time_to_first_event = std::max(target.wait, target.memory_wait) +
--- a/tests/dispatch/memory_plan_load_test.cc
+++ b/tests/dispatch/memory_plan_load_test.cc
@@ -34,6 +34,7 @@
 
 struct Sums {
   ClassResult shorts;
+  ClassResult mediums;
   ClassResult longs;
   ClassResult longest;
   ReservationResult reservations;
@@ -63,6 +64,7 @@
     }
     simulation.Drain();
     Add(simulation.Of("short"), &sums.shorts);
+    Add(simulation.Of("medium"), &sums.mediums);
     Add(simulation.Of("long"), &sums.longs);
     Add(simulation.LargestOf("long"), &sums.longest);
     sums.reservations.orders += simulation.reservations().orders;
@@ -83,13 +85,14 @@
     "planned memory serves more of the longest prompts, short as before") {
   const Sums off = SimulateAll(false);
   const Sums on = SimulateAll(true);
-  CAPTURE(off.longs.submitted, on.longs.submitted, off.longs.on_time,
-          on.longs.on_time, off.longest.submitted, on.longest.submitted,
-          off.shorts.submitted, on.shorts.submitted, off.longs.refused,
-          on.longs.refused, off.longest.refused, on.longest.refused,
-          off.shorts.on_time, on.shorts.on_time, off.reservations.orders,
-          on.reservations.orders, off.reservations.refused_orders,
-          on.reservations.refused_orders);
+  CAPTURE(off.mediums.submitted, on.mediums.submitted, off.mediums.on_time,
+          on.mediums.on_time, off.longs.submitted, on.longs.submitted,
+          off.longs.on_time, on.longs.on_time, off.longest.submitted,
+          on.longest.submitted, off.shorts.submitted, on.shorts.submitted,
+          off.longs.refused, on.longs.refused, off.longest.refused,
+          on.longest.refused, off.shorts.on_time, on.shorts.on_time,
+          off.reservations.orders, on.reservations.orders,
+          off.reservations.refused_orders, on.reservations.refused_orders);
   CHECK(Share(on.longest.served(), on.longest) >
         Share(off.longest.served(), off.longest));
   CHECK(Share(on.longs.on_time, on.longs) >
