--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -188,8 +188,8 @@
   // First events, and the mean ratio of their actual to their predicted times.
   uint32_t first_events = 0;
   float latency_ratio = 0;
-  // Windows of pauses between events, and their mean typical pause. A home knows
-  // all work at the target and derives its decode speed.
+  // Windows of pauses between events, and their mean typical pause. A home
+  // knows all work at the target and derives its decode speed.
   uint32_t pause_windows = 0;
   float pause_ms = 0;
   MSGPACK_DEFINE_ARRAY(target,
