--- a/packages/dispatch/include/umbertrail/dispatch/features.h
+++ b/packages/dispatch/include/umbertrail/dispatch/features.h
@@ -15,14 +15,18 @@
   // as load plays in which that mean is right show no gain over remaining_work
   // alone. It is learnt and exchanged all the same.
   bool output_estimates = false;
-  // Slots and passes by the remaining work of each request.
-  bool remaining_work = true;
+  // Slots and passes by the remaining work of each request. Off, as days of two
+  // deployments show no gain; see docs/design/request-cost.md.
+  bool remaining_work = false;
   // Urgency is sent to targets and orders requests.
   bool urgency = true;
-  // Client accounts share contended capacity.
-  bool fair_shares = true;
+  // Client accounts share contended capacity. To be used with waiting_line: alone
+  // it refuses requests that a short wait would serve. Both are off, as they
+  // serve a flood beside quiet accounts better, but days of two deployments show
+  // no gain; see docs/design/priority-order.md.
+  bool fair_shares = false;
   // Requests may wait at a home for capacity.
-  bool waiting_line = true;
+  bool waiting_line = false;
   // Memory of several targets is planned as a whole.
   bool memory_plan = true;
   // Shards are searched in the order of their reported capacity.
--- a/tests/dispatch/memory_plan_load_test.cc
+++ b/tests/dispatch/memory_plan_load_test.cc
@@ -54,6 +54,8 @@
 Sums SimulateAll(bool memory_plan) {
   Features features;
   features.memory_plan = memory_plan;
+  // The plans alone are compared.
+  features.remaining_work = false;
   Sums sums;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     MemorySimulation simulation(SmallMemoryEngine(), kTargets, seed, features);
--- a/tests/front/placer_test.cc
+++ b/tests/front/placer_test.cc
@@ -428,6 +428,8 @@
 TEST_CASE(
     "a home refuses what its queue makes late, but places what was sent") {
   PlacerFixture home(40, 20);
+  home.state().features.waiting_line = true;
+  home.state().features.fair_shares = true;
   home.Occupy("east", absl::Milliseconds(800));
   PlacementRequest request = PlacerFixture::RequestFor(5000);
   request.shard = {kService, DataCentreId("east"), 1, 0};
@@ -454,6 +456,8 @@
 
 TEST_CASE("a home tells who needs several busy targets to ask again") {
   PlacerFixture home(40, 20);
+  home.state().features.waiting_line = true;
+  home.state().features.fair_shares = true;
   home.Occupy("east", absl::Milliseconds(700));
   PlacementRequest request = PlacerFixture::RequestFor(500000);
   request.shard = {kService, DataCentreId("east"), 1, 0};
