--- a/packages/dispatch/include/umbertrail/dispatch/features.h
+++ b/packages/dispatch/include/umbertrail/dispatch/features.h
@@ -20,10 +20,10 @@
   bool remaining_work = false;
   // Urgency is sent to targets and orders requests.
   bool urgency = true;
-  // Client accounts share contended capacity. To be used with waiting_line: alone
-  // it refuses requests that a short wait would serve. Both are off, as they
-  // serve a flood beside quiet accounts better, but days of two deployments show
-  // no gain; see docs/design/priority-order.md.
+  // Client accounts share contended capacity. To be used with waiting_line:
+  // alone it refuses requests that a short wait would serve. Both are off: they
+  // protect quiet accounts from a flood, but gain nothing on the days of two
+  // deployments; see docs/design/priority-order.md.
   bool fair_shares = false;
   // Requests may wait at a home for capacity.
   bool waiting_line = false;
--- a/tests/dispatch/output_estimator_test.cc
+++ b/tests/dispatch/output_estimator_test.cc
@@ -97,19 +97,19 @@
     exact.Learn(query, kEngine, events, kNow);
     useless.Learn(query, kEngine, i % 4 < 2 ? 10 : 100, kNow);
   }
-  query.hint = Tokens(100 * 34);
+  query.hint = Tokens(int64_t{100} * 34);
   CHECK(MeanOf(exact, query) == Approx(100).epsilon(0.25));
   const double uncertain = MeanOf(useless, query);
   CHECK(uncertain < MeanOf(exact, query));
-  query.hint = Tokens(10 * 34);
+  query.hint = Tokens(int64_t{10} * 34);
   CHECK(MeanOf(exact, query) == Approx(10).epsilon(0.25));
   // Hints that are always three times too low are corrected.
   OutputEstimator low;
   for (int i = 0; i < 60; ++i) {
-    query.hint = Tokens(34 * (i % 2 == 0 ? 10 : 100));
+    query.hint = Tokens(int64_t{34} * (i % 2 == 0 ? 10 : 100));
     low.Learn(query, kEngine, i % 2 == 0 ? 30 : 300, kNow);
   }
-  query.hint = Tokens(34 * 50);
+  query.hint = Tokens(int64_t{34} * 50);
   CHECK(MeanOf(low, query) == Approx(150).epsilon(0.25));
 }
 
--- a/tests/dispatch/placement_test.cc
+++ b/tests/dispatch/placement_test.cc
@@ -158,7 +158,7 @@
     candidates.push_back(Idle(std::to_string(i)));
     WorkItem held;
     held.is_helper = true;
-    held.memory = Tokens(10000 * i);
+    held.memory = Tokens(int64_t{10000} * i);
     candidates.back().work = {held};
   }
   const EngineModel engine = SampleEngine();
