--- a/tests/dispatch/output_estimator_test.cc
+++ b/tests/dispatch/output_estimator_test.cc
@@ -116,7 +116,7 @@
 TEST_CASE("the client's limit bounds the estimate") {
   const OutputEstimator estimator;
   OutputQuery query = Query("chat");
-  query.max_output = Tokens(34 * 5);
+  query.max_output = Tokens(int64_t{34} * 5);
   CHECK(estimator.Estimate(query, kEngine, kNow).mean == 5);
   CHECK(estimator.Estimate(query, kEngine, kNow).high == 5);
 }
