Placement: one way to count the loss of a pause, and of a late first event

The two ways to score a target each weighed a stream's loss by urgency, and three places computed what a late first event costs.

--- a/packages/dispatch/src/placement.cc
+++ b/packages/dispatch/src/placement.cc
@@ -70,6 +70,15 @@
   return 1 / (1 + std::exp(-lateness));
 }
 
+// Value that a request loses if its first event comes after
+// `time_to_first_event`.
+double LatenessCost(const RequestProfile& request,
+                    double value,
+                    absl::Duration time_to_first_event) {
+  return kLateValueLoss * value *
+         LatenessFactor(request.elapsed + time_to_first_event, request.aim);
+}
+
 int Occupied(const Candidate& candidate) {
   return static_cast<int>(
       std::count_if(candidate.work.begin(), candidate.work.end(),
@@ -81,6 +90,14 @@
 struct PauseLoss {
   double total = 0;
   double more_urgent = 0;
+
+  // Adds the loss of one stream, which pauses with a probability of `share`.
+  void Add(const WorkItem& item, double share, int urgency) {
+    const double lost = share * kLateValueLoss * item.value *
+                        UrgencyWeight(item.urgency, urgency);
+    total += lost;
+    more_urgent += item.urgency < urgency ? lost : 0;
+  }
 };
 
 PauseLoss PauseCost(const Candidate& candidate,
@@ -89,10 +106,7 @@
   PauseLoss loss;
   for (const WorkItem& item : candidate.work) {
     if (!item.is_helper && item.max_event_gap < pass) {
-      const double lost =
-          kLateValueLoss * item.value * UrgencyWeight(item.urgency, urgency);
-      loss.total += lost;
-      loss.more_urgent += item.urgency < urgency ? lost : 0;
+      loss.Add(item, 1, urgency);
     }
   }
   return loss;
@@ -173,9 +187,7 @@
     scored.time_to_first_event +=
         MemoryWait(engine, candidate.work, request.prompt, now);
   }
-  scored.cost =
-      kLateValueLoss * value *
-      LatenessFactor(request.elapsed + scored.time_to_first_event, request.aim);
+  scored.cost = LatenessCost(request, value, scored.time_to_first_event);
   const PauseLoss pause_loss = PauseCost(
       candidate,
       PassTimeWithPrefill(engine, scored.load, request.prompt, prefill),
@@ -200,10 +212,7 @@
       // Earlier prompts are read first, so their streams have begun by then.
       const double share =
           item.prefilling ? 1 : forecast.DecodingShareAt(item, wait);
-      const double lost = share * kLateValueLoss * item.value *
-                          UrgencyWeight(item.urgency, urgency);
-      loss.total += lost;
-      loss.more_urgent += item.urgency < urgency ? lost : 0;
+      loss.Add(item, share, urgency);
     }
   }
   return loss;
@@ -402,14 +411,6 @@
          request.elapsed;
 }
 
-// Cost of a prompt whose first event comes after `time_to_first_event`.
-double LatenessCost(const RequestProfile& request,
-                    double value,
-                    absl::Duration time_to_first_event) {
-  return kLateValueLoss * value *
-         LatenessFactor(request.elapsed + time_to_first_event, request.aim);
-}
-
 PlanTarget ToPlanTarget(const RequestProfile& request,
                         const EngineModel& engine,
                         const ScoredCandidate& scored,
