--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -132,8 +132,6 @@
   void CloseOrDeliver();
   // False while bytes are on their way to the client.
   bool IsDelivered();
-  // Sent bytes that the client's host has not acknowledged; 0 if unknown.
-  size_t UnacknowledgedBytes();
   void PrepareNext();
 
   // -- Memory (server_memory.cc)
