--- a/tests/front_soak/client_crowd.cc
+++ b/tests/front_soak/client_crowd.cc
@@ -18,6 +18,7 @@
 
 constexpr absl::Duration kPause = absl::Milliseconds(1);
 constexpr absl::Duration kStalled = absl::Seconds(1);
+constexpr absl::Duration kTricklePause = absl::Milliseconds(20);
 
 }  // namespace
 
@@ -26,6 +27,10 @@
 }
 
 void ClientCrowd::Close() {
+  leaving_ = true;
+  if (trickling_.joinable()) {
+    trickling_.join();
+  }
   for (Client& it : clients_) {
     if (it.socket >= 0) {
       ::close(it.socket);
@@ -92,4 +97,29 @@
   }
 }
 
+void ClientCrowd::SendTrickle(Client& client) {
+  const std::string& bytes = *client.script.trickle;
+  if (client.trickled == bytes.size()) {
+    return;
+  }
+  const ssize_t sent = ::send(client.socket, &bytes[client.trickled], 1,
+                              MSG_NOSIGNAL | MSG_DONTWAIT);
+  client.trickled += sent > 0 ? size_t{1} : 0;
+}
+
+void ClientCrowd::Trickle() {
+  while (!leaving_) {
+    for (Client& it : clients_) {
+      if (it.socket >= 0 && it.script.trickle != nullptr) {
+        SendTrickle(it);
+      }
+    }
+    absl::SleepFor(kTricklePause);
+  }
+}
+
+void ClientCrowd::StartTrickling() {
+  trickling_ = std::thread([this] { Trickle(); });
+}
+
 }  // namespace umbertrail::soak
--- a/tests/front_soak/client_crowd.h
+++ b/tests/front_soak/client_crowd.h
@@ -1,10 +1,12 @@
 #ifndef UMBERTRAIL_TESTS_FRONT_SOAK_CLIENT_CROWD_H_
 #define UMBERTRAIL_TESTS_FRONT_SOAK_CLIENT_CROWD_H_
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace umbertrail::soak {
@@ -16,10 +18,12 @@
   size_t piece_bytes = 0;
   // Size of the socket's receive buffer; 0: the system's default.
   int receive_buffer = 0;
+  // Sent afterwards, a byte at a time, until the crowd leaves.
+  std::shared_ptr<const std::string> trickle = nullptr;
 };
 
-// Many client connections to one address that never read, driven by one
-// thread.
+// Many client connections to one address that never read, driven by one thread
+// at a time.
 class ClientCrowd {
  public:
   explicit ClientCrowd(std::string address) : address_(std::move(address)) {}
@@ -32,6 +36,8 @@
   // Sends until each client has sent everything or has been disconnected, or no
   // client could send anything for a second. Runs `between` after each round.
   void Run(const std::function<void()>& between);
+  // Sends the clients' trickles on a thread of its own until Close.
+  void StartTrickling();
   // Closes all connections.
   void Close();
 
@@ -40,12 +46,17 @@
     int socket = -1;
     ClientScript script;
     size_t sent = 0;
+    size_t trickled = 0;
   };
   // Whether some bytes were sent.
   static bool SendPiece(Client& client);
+  static void SendTrickle(Client& client);
+  void Trickle();
 
   const std::string address_;
   std::vector<Client> clients_;
+  std::atomic<bool> leaving_{false};
+  std::thread trickling_;
 };
 
 }  // namespace umbertrail::soak
