Readiness and metrics addresses take no bodies and have a memory budget

Seen: with a crowd at the readiness or the metrics address an instance grew far over its machine's memory (measured before: 14 to 571 MB where the machine has 160), and would be ended by it, with all requests of its callers.

Cause: the two listeners had a limit on the number of connections only. Each connection could bring a body of 4 MiB, the default limit, which neither address needs, and nothing counted these bytes.

Change: these listeners refuse any body with 413 as soon as it shows, and charge their connections, heads and responses to a budget of their own, a sixteenth of the machine's memory. It is apart from that of callers, so that callers in number can't keep the platform's probe from its answer.

--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -1,6 +1,7 @@
 #ifndef UMBERTRAIL_FRONT_FRONT_H_
 #define UMBERTRAIL_FRONT_FRONT_H_
 
+#include <array>
 #include <boost/asio/signal_set.hpp>
 #include <memory>
 #include <optional>
@@ -58,6 +59,7 @@
   void OnViewChange();
   // Applies the settings' limits on memory and descriptors.
   void ApplyResourceLimits();
+  std::array<net::MemoryBudget*, 2> MemoryBudgets() const;
   void WatchMemory();
   // Returns freed memory to the system, a moment after buffers were released.
   void ScheduleTrim();
@@ -76,6 +78,8 @@
   std::string settings_text_;
   ShedReport shed_report_;
   net::HttpServer callers_;
+  // Of the readiness and metrics addresses.
+  std::shared_ptr<net::MemoryBudget> monitoring_memory_;
   net::HttpServer readiness_;
   net::HttpServer control_;
   net::HttpServer metrics_;
--- a/packages/front/include/umbertrail/front/resource_limits.h
+++ b/packages/front/include/umbertrail/front/resource_limits.h
@@ -9,6 +9,7 @@
 #include "umbertrail/front/event_log.h"
 #include "umbertrail/front/metrics.h"
 #include "umbertrail/net/memory_budget.h"
+#include "umbertrail/net/server.h"
 
 namespace umbertrail::front {
 
@@ -16,6 +17,14 @@
 // these settings hold.
 size_t MemoryBudgetOf(const adapter::InstanceSettings& settings);
 
+// Bytes that connections to the readiness and metrics addresses may make an
+// instance hold, beside that budget: callers can't keep the platform's probe
+// from its answer, nor the other way round.
+size_t MonitoringMemoryOf(const adapter::InstanceSettings& settings);
+
+// Limits on requests to these addresses: no bodies.
+net::ServerLimits MonitoringLimits();
+
 // Most connections of each kind; the other descriptors are left for targets,
 // the store and this instance's own connections to others.
 struct ConnectionLimits {
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -78,10 +78,12 @@
                              BootNow());
           },
           state_.memory),
+      monitoring_memory_(std::make_shared<net::MemoryBudget>()),
       readiness_(
           loop_,
           [this](auto client) { OnReadiness(std::move(client)); },
-          [](int, const char*) {}),
+          [](int, const char*) {},
+          monitoring_memory_),
       control_(
           loop_,
           [this](auto client) { OnControl(std::move(client)); },
@@ -90,7 +92,8 @@
       metrics_(
           loop_,
           [this](auto client) { OnMetrics(std::move(client)); },
-          [](int, const char*) {}),
+          [](int, const char*) {},
+          monitoring_memory_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       bind_timer_(loop_),
       stop_timer_(loop_),
@@ -123,25 +126,36 @@
 }
 
 Front::~Front() {
-  state_.memory->SetOnShed(nullptr);
-  state_.memory->SetOnDrained(nullptr);
+  for (net::MemoryBudget* memory : MemoryBudgets()) {
+    memory->SetOnShed(nullptr);
+    memory->SetOnDrained(nullptr);
+  }
+}
+
+std::array<net::MemoryBudget*, 2> Front::MemoryBudgets() const {
+  return {state_.memory.get(), monitoring_memory_.get()};
 }
 
 void Front::WatchMemory() {
-  state_.memory->SetOnShed([this](net::ShedReason reason) {
-    shed_report_.Note(reason, *state_.memory, BootNow());
-  });
-  state_.memory->SetOnDrained([this] { ScheduleTrim(); });
+  for (net::MemoryBudget* memory : MemoryBudgets()) {
+    memory->SetOnShed([this, memory](net::ShedReason reason) {
+      shed_report_.Note(reason, *memory, BootNow());
+    });
+    memory->SetOnDrained([this] { ScheduleTrim(); });
+  }
 }
 
 void Front::ApplyResourceLimits() {
   state_.memory->SetSize(MemoryBudgetOf(state_.settings));
+  monitoring_memory_->SetSize(MonitoringMemoryOf(state_.settings));
   const ConnectionLimits limits =
       ConnectionLimitsOf(state_.settings, SystemFds());
   callers_.SetMaxConnections(limits.callers);
   control_.SetMaxConnections(limits.control);
   readiness_.SetMaxConnections(limits.other);
   metrics_.SetMaxConnections(limits.other);
+  readiness_.SetLimits(MonitoringLimits());
+  metrics_.SetLimits(MonitoringLimits());
 }
 
 void Front::ScheduleTrim() {
--- a/packages/front/src/resource_limits.cc
+++ b/packages/front/src/resource_limits.cc
@@ -11,6 +11,7 @@
 // The other half is for the program, its state, and what the allocator keeps
 // between buffers.
 constexpr size_t kBudgetFraction = 2;
+constexpr size_t kMonitoringFraction = 16;
 // Descriptors that the platform reserves for files.
 constexpr size_t kReservedFds = 200;
 // A client's connection needs one to a target while a request runs, so clients
@@ -27,6 +28,16 @@
   return (static_cast<size_t>(settings.memory_mb) << 20) / kBudgetFraction;
 }
 
+size_t MonitoringMemoryOf(const adapter::InstanceSettings& settings) {
+  return (static_cast<size_t>(settings.memory_mb) << 20) / kMonitoringFraction;
+}
+
+net::ServerLimits MonitoringLimits() {
+  net::ServerLimits limits;
+  limits.max_body_bytes = 0;
+  return limits;
+}
+
 ConnectionLimits ConnectionLimitsOf(const adapter::InstanceSettings& settings,
                                     size_t system_fds) {
   size_t fds = system_fds;
--- a/tests/front/resource_limits_test.cc
+++ b/tests/front/resource_limits_test.cc
@@ -26,6 +26,12 @@
   CHECK(budget.part(net::MemoryUse::kBodies) >= 8 * size_t{4194304});
 }
 
+TEST_CASE("probes and readers of metrics have memory of their own") {
+  const adapter::InstanceSettings settings = Settings(160, 0);
+  CHECK(MonitoringMemoryOf(settings) == size_t{10} << 20);
+  CHECK(MonitoringLimits().max_body_bytes == 0);
+}
+
 TEST_CASE("clients and other instances get half of the descriptors") {
   for (const int fds : {600, 4100, 8192}) {
     CAPTURE(fds);
