Pipelined requests wait until their client has read its responses

Seen: a client that pipelines requests and reads nothing made an instance hold all of its responses.

Cause: after a response that was made at once the connection handled the next request whatever was still unsent. Only a response in progress was held back by what its client had read; complete ones were counted but never bounded.

Change: the next request of a connection is read and handled once no more than 16 KB of its responses are unsent, under pressure none. The kernel's buffers then stop the client. Idle connections with unsent responses count as unread ones when memory is short. Clients that wait for a response before the next request are not affected: their responses have been sent by then.

--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -133,6 +133,10 @@
   // False while bytes are on their way to the client.
   bool IsDelivered();
   void PrepareNext();
+  // Handles a pipelined request, or reads one, unless the client is behind.
+  void ReadNextRequest();
+  // The client has taken bytes while pipelined requests wait.
+  void ResumePipelined();
 
   // -- Memory (server_memory.cc)
 
@@ -155,6 +159,9 @@
   void NoteProgress(uint64_t mark);
   void NoteBodyProgress();
   void NoteUnreadResponse();
+  // Whether the client must take more of its responses before another request
+  // of it is handled.
+  bool IsClientBehind() const;
   // Answers 503, as no memory is left or the request arrives too slowly.
   void RefuseForMemory(ShedReason reason);
   // Most pipelined bytes that are buffered during a response.
--- a/packages/net/src/server_connection.cc
+++ b/packages/net/src/server_connection.cc
@@ -72,6 +72,9 @@
   if (state_ == State::kResponding && buffer_.size() >= MaxReadAhead()) {
     return;
   }
+  if (state_ == State::kIdle && IsClientBehind()) {
+    return;
+  }
   reading_ = true;
   socket_.async_read_some(
       boost::asio::buffer(read_buffer_),
--- a/packages/net/src/server_memory.cc
+++ b/packages/net/src/server_memory.cc
@@ -164,6 +164,12 @@
   return server_.HasRoomFor(address_, kRunningBytes);
 }
 
+bool ServerConnection::IsClientBehind() const {
+  const bool under_pressure =
+      server_.memory_->IsUnderPressure(MemoryUse::kResponses);
+  return writes_.pending_bytes() > (under_pressure ? 0 : kMinUnreadBytes);
+}
+
 void ServerConnection::NoteUnreadResponse() {
   if (writes_.pending_bytes() <= kMinUnreadBytes) {
     return;
@@ -194,7 +200,7 @@
     case ShedKind::kResponse:
       break;
   }
-  if (state_ != State::kResponding && state_ != State::kDelivering) {
+  if (state_ == State::kReadingHead || state_ == State::kReadingBody) {
     return 0;
   }
   if (progress_mark_ != writes_.written_bytes()) {
@@ -212,7 +218,7 @@
     RefuseForMemory(ShedReason::kStalledRequest);
     return;
   }
-  if (state_ == State::kIdle) {
+  if (state_ == State::kIdle && writes_.pending_bytes() == 0) {
     server_.memory_->NoteShed(ShedReason::kIdleConnection);
     CloseOrDeliver();
     return;
--- a/packages/net/src/server_response.cc
+++ b/packages/net/src/server_response.cc
@@ -85,17 +85,24 @@
     return;
   }
   PrepareNext();
-  // A pipelined request is parsed in a separate event loop turn.
-  if (!buffer_.empty()) {
-    boost::asio::post(server_.loop_, [self = shared_from_this()] {
-      if (self->state_ == State::kIdle) {
-        self->Parse();
-      }
-      self->ReadMore();
-    });
-  } else {
+  ReadNextRequest();
+}
+
+void ServerConnection::ReadNextRequest() {
+  if (IsClientBehind()) {
+    return;  // OnWritten calls again.
+  }
+  if (buffer_.empty()) {
     ReadMore();
+    return;
   }
+  // A pipelined request is parsed in a separate event loop turn.
+  boost::asio::post(server_.loop_, [self = shared_from_this()] {
+    if (self->state_ == State::kIdle) {
+      self->Parse();
+    }
+    self->ReadMore();
+  });
 }
 
 void ServerConnection::Abort() {
@@ -177,6 +184,14 @@
     ShutDownWhenWritten();
     return;
   }
+  if (state_ == State::kIdle && !buffer_.empty()) {
+    ResumePipelined();
+    return;
+  }
+  if (state_ == State::kIdle) {
+    ReadMore();
+    return;
+  }
   if (state_ == State::kResponding) {
     if (const auto observer = observer_) {
       observer->OnClientProgress();
@@ -184,6 +199,12 @@
   }
 }
 
+void ServerConnection::ResumePipelined() {
+  timer_.Set(server_.limits_.idle_timeout, shared_from_this(),
+             &ServerConnection::OnTimer);
+  ReadNextRequest();
+}
+
 void ServerConnection::OnTimer() {
   if (state_ == State::kReadingHead || state_ == State::kReadingBody) {
     Refuse(408, "Request Timeout");
--- a/tests/net/server_memory_test.cc
+++ b/tests/net/server_memory_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
@@ -21,9 +22,11 @@
 using testing::RawClient;
 
 constexpr size_t kMiB = size_t{1} << 20;
+constexpr char kLargeTarget[] = "/large";
+constexpr size_t kLargeResponse = kMiB;
 
 // A server with a budget, on its own thread. It answers with the length of the
-// body.
+// body, or with a large response.
 class Running {
  public:
   explicit Running(size_t budget, size_t max_connections = 1000)
@@ -60,6 +63,12 @@
       absl::SleepFor(absl::Milliseconds(1));
     }
   }
+  // Most memory of unsent responses when a request was answered.
+  size_t PeakOfResponses() {
+    size_t peak = 0;
+    OnLoop([&] { peak = response_peak_; });
+    return peak;
+  }
   std::vector<ShedReason> Shed() {
     std::vector<ShedReason> shed;
     OnLoop([&] { shed = shed_; });
@@ -68,6 +77,8 @@
 
  private:
   void Answer(const std::shared_ptr<ServerConnection>& client) {
+    response_peak_ =
+        std::max(response_peak_, memory_->used(MemoryUse::kResponses));
     const std::string& body = *client->body();
     const bool intact =
         body.find_first_not_of(body.empty() ? 'x' : body.front()) ==
@@ -75,8 +86,11 @@
     ResponseHead head;
     head.status = 200;
     head.reason = "OK";
-    client->Respond(std::move(head),
-                    absl::StrCat(body.size(), intact ? " intact" : " broken"));
+    const bool large = client->request().target == kLargeTarget;
+    client->Respond(
+        std::move(head),
+        large ? std::string(kLargeResponse, 'y')
+              : absl::StrCat(body.size(), intact ? " intact" : " broken"));
   }
   template <typename Then>
   void OnLoop(Then then) {
@@ -92,6 +106,7 @@
   Loop loop_;
   std::shared_ptr<MemoryBudget> memory_;
   std::vector<ShedReason> shed_;
+  size_t response_peak_ = 0;
   HttpServer server_;
   std::thread thread_;
 };
@@ -204,6 +219,24 @@
   CHECK(running.Shed().front() == ShedReason::kIdleConnection);
 }
 
+// All responses were held for a client that pipelines and reads nothing.
+TEST_CASE("pipelined requests wait until their client reads the responses") {
+  constexpr int kRequests = 32;
+  Running running(80 * kMiB);
+  RawClient client(running.address(), 4096);
+  std::string all;
+  for (int i = 0; i < kRequests; ++i) {
+    absl::StrAppend(&all, "GET ", kLargeTarget, " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  client.Send(all);
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(client.ReadAnswer().size() > kLargeResponse);
+  }
+  CHECK(running.PeakOfResponses() <= kLargeResponse);
+  client.Send(Declared(1) + "x");
+  CHECK_THAT(client.ReadAnswer(), Catch::EndsWith("1 intact"));
+}
+
 TEST_CASE("a connection without a place is closed unread") {
   constexpr size_t kMax = 8;
   Running running(80 * kMiB, kMax);
