Requests that arrive too slowly give up their places under pressure

Seen: clients that send a byte now and then, more of them than an instance has places for connections, kept all places: ordinary callers were turned away for as long as the crowd stayed (over 60 s in the test, no end in sight), and at the readiness address the platform's probe.

Cause: when places run out only idle connections were closed. A request whose body, chunk size or trailer arrives a byte at a time is not idle and passes the limit on the pause between two reads. The same connections could not be closed when the memory for connections ran out.

Change: when seven eighths of the places are taken, or that memory is short, heads and then bodies that brought less than 8 KiB in 500 ms or more are refused with 503 and Retry-After, the longest without progress first; then those of other addresses with over half of the places. Connections that are about to close no longer count towards the seven eighths, so that one newcomer doesn't end many. In calm nothing changes: a client may be slow.

Evidence, on and now: slow_clients_test, 400 clients, 175 places: chunked bodies and chunk sizes a byte at a time failed (no ordinary answer in 60 s) and hold; declared bodies and heads held before. other_listeners_test, chunk sizes a byte at a time at the readiness address: failed, holds; at the metrics address it held.

--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -56,8 +56,16 @@
 class HttpServer;
 
 // Connections that may be closed under pressure, by what they hold.
-enum class ShedKind { kIdle, kHead, kBody, kResponse };
-inline constexpr size_t kShedKinds = 4;
+enum class ShedKind {
+  kIdle,
+  kHead,
+  // A request whose body is being read: the memory of that body.
+  kBody,
+  // The same requests: their places and the memory of their connections.
+  kUpload,
+  kResponse
+};
+inline constexpr size_t kShedKinds = 5;
 
 // A client connection; handles one request at a time.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -116,6 +124,8 @@
   void OnTimer();
   void OnWritten(bool ok);
   void Close();
+  // Tells the server that the descriptor is no longer open.
+  void ReleasePlace();
   // Closes the connection once the client has all that was sent, or after
   // kLingerTimeout.
   void CloseWhenSent();
@@ -263,6 +273,13 @@
   // -- Memory (server_memory.cc)
 
   bool HasPlace(ClientAddress address);
+  // Closes connections without a request, then those whose requests arrive too
+  // slowly.
+  void FreePlaces(ClientAddress address);
+  // Whether only the spare places are left, but for connections that are about
+  // to close.
+  bool IsNearlyFull() const;
+  size_t SparePlaces() const;
   // Whether `bytes` are left for connections. The last of them are not given to
   // an address with over half of the connections.
   bool HasRoomFor(ClientAddress address, size_t bytes);
@@ -289,6 +306,8 @@
   size_t max_connections_ = std::numeric_limits<size_t>::max();
   // Connections whose descriptor is open.
   size_t open_ = 0;
+  // Those of them that close once their last response has been delivered.
+  size_t delivering_ = 0;
   absl::flat_hash_map<ClientAddress, size_t> open_by_address_;
   // When connections may be searched again for ones to close, for each kind.
   std::array<std::chrono::steady_clock::time_point, kShedKinds> next_search_;
--- a/packages/net/src/server_connection.cc
+++ b/packages/net/src/server_connection.cc
@@ -37,7 +37,7 @@
   if (server_is_alive_) {
     server_.connections_.erase(this);
     if (state_ != State::kClosed) {
-      server_.NoteClosed(address_);
+      ReleasePlace();
     }
   }
 }
--- a/packages/net/src/server_memory.cc
+++ b/packages/net/src/server_memory.cc
@@ -197,6 +197,8 @@
       return state_ == State::kReadingHead ? charge_.bytes() : 0;
     case ShedKind::kBody:
       return state_ == State::kReadingBody ? body_->charge.bytes() : 0;
+    case ShedKind::kUpload:
+      return state_ == State::kReadingBody ? charge_.bytes() : 0;
     case ShedKind::kResponse:
       break;
   }
@@ -213,6 +215,13 @@
   return absl::FromChrono(Clock::now() - progressed_at_);
 }
 
+void ServerConnection::ReleasePlace() {
+  if (state_ == State::kDelivering) {
+    --server_.delivering_;
+  }
+  server_.NoteClosed(address_);
+}
+
 void ServerConnection::Shed() {
   if (state_ == State::kReadingHead || state_ == State::kReadingBody) {
     RefuseForMemory(ShedReason::kStalledRequest);
@@ -236,16 +245,35 @@
   return found != open_by_address_.end() && found->second > open_ / 2;
 }
 
-bool HttpServer::HasPlace(ClientAddress address) {
-  const size_t spare = max_connections_ / kSpareFraction;
-  if (open_ >= max_connections_ - spare) {
-    Shed(ShedKind::kIdle, absl::ZeroDuration(),
-         {address, (1 + open_ / kReleasedFraction) * kConnectionBytes, 0});
-    if (open_ >= max_connections_ ||
-        (open_ >= max_connections_ - spare && HoldsMost(address))) {
-      return false;
+size_t HttpServer::SparePlaces() const {
+  return max_connections_ / kSpareFraction;
+}
+
+bool HttpServer::IsNearlyFull() const {
+  return open_ - delivering_ >= max_connections_ - SparePlaces();
+}
+
+void HttpServer::FreePlaces(ClientAddress address) {
+  ShedDemand demand;
+  demand.address = address;
+  demand.bytes = (1 + open_ / kReleasedFraction) * kConnectionBytes;
+  Shed(ShedKind::kIdle, absl::ZeroDuration(), demand);
+  demand.address_part = max_connections_ / 2 * kConnectionBytes;
+  for (const ShedKind kind : {ShedKind::kHead, ShedKind::kUpload}) {
+    if (IsNearlyFull()) {
+      Shed(kind, kMinStalled, demand);
     }
   }
+}
+
+bool HttpServer::HasPlace(ClientAddress address) {
+  if (IsNearlyFull()) {
+    FreePlaces(address);
+  }
+  const bool only_spare = open_ >= max_connections_ - SparePlaces();
+  if (open_ >= max_connections_ || (only_spare && HoldsMost(address))) {
+    return false;
+  }
   return HasRoomFor(address, kConnectionBytes);
 }
 
@@ -280,8 +308,10 @@
   switch (demand.use) {
     case MemoryUse::kConnections:
       Shed(ShedKind::kIdle, absl::ZeroDuration(), shed);
-      if (!memory_->HasRoom(demand.use, demand.bytes)) {
-        Shed(ShedKind::kHead, kMinStalled, shed);
+      for (const ShedKind kind : {ShedKind::kHead, ShedKind::kUpload}) {
+        if (!memory_->HasRoom(demand.use, demand.bytes)) {
+          Shed(kind, kMinStalled, shed);
+        }
       }
       break;
     case MemoryUse::kBodies:
--- a/packages/net/src/server_response.cc
+++ b/packages/net/src/server_response.cc
@@ -135,8 +135,10 @@
 
 void ServerConnection::BeginDelivery() {
   state_ = State::kDelivering;
+  ++server_.delivering_;
   observer_.reset();
   buffer_.clear();
+  ReleaseBuffer();
   ReleaseBody();
   acknowledged_bytes_ = 0;
   checks_without_progress_ = 0;
@@ -230,8 +232,8 @@
   if (state_ == State::kResponding) {
     --server_.busy_;
   }
+  ReleasePlace();
   state_ = State::kClosed;
-  server_.NoteClosed(address_);
   observer_.reset();
   timer_.Cancel();
   boost::system::error_code ignored;
--- a/tests/front_soak/other_listeners_test.cc
+++ b/tests/front_soak/other_listeners_test.cc
@@ -64,6 +64,12 @@
   return script;
 }
 
+ClientScript SlowChunkSizes() {
+  ClientScript script = {Shared(ChunkedHead("/ready")), kWhole};
+  script.trickle = Shared(std::string(kManyBytes, '0'));
+  return script;
+}
+
 TEST_CASE("chunked bodies at the readiness address") {
   MeetAt(Listener::kReadiness, ChunkedBodies());
 }
@@ -76,6 +82,10 @@
   MeetAt(Listener::kReadiness, SlowBodies());
 }
 
+TEST_CASE("chunk sizes that arrive a byte at a time at the readiness address") {
+  MeetAt(Listener::kReadiness, SlowChunkSizes());
+}
+
 TEST_CASE("chunked bodies at the metrics address") {
   MeetAt(Listener::kMetrics, ChunkedBodies());
 }
@@ -88,6 +98,10 @@
   MeetAt(Listener::kControl, ChunkedBodies());
 }
 
+TEST_CASE("chunk sizes that arrive a byte at a time at the metrics address") {
+  MeetAt(Listener::kMetrics, SlowChunkSizes());
+}
+
 TEST_CASE("bodies that arrive a byte at a time at the control address") {
   MeetAt(Listener::kControl, SlowBodies());
 }
