Bound the framing of a chunked request body

Seen: one-byte chunks with an extension of 8 KB each were read for as long as the client sent them (200 connections took 10 s of processor time in 8 s). Memory held; the time was that of ordinary callers.

Cause: the limit on the body counts what chunks carry. Their sizes, extensions and line ends had a limit of 16 KB each and none together, so that a body of 4 MiB could take 32 GB on the wire.

Change: a body may take 1 MiB (limits.max_framing_bytes) and 16 bytes for each of its bytes beside itself; more is refused with 413. The longest legal body in one-byte chunks takes 5 bytes for each, with sizes in eight digits 12, so no client within the limits meets it (RFC 9112, 7.1.1 asks for such a limit).

--- a/packages/front/include/umbertrail/front/front.h
+++ b/packages/front/include/umbertrail/front/front.h
@@ -57,6 +57,7 @@
   void OnMetrics(std::shared_ptr<net::ServerConnection> client);
   bool IsReady() const;
   void OnViewChange();
+  void ApplyClientLimits(const dispatch::ClientLimits& from);
   // Applies the settings' limits on memory and descriptors.
   void ApplyResourceLimits();
   std::array<net::MemoryBudget*, 2> MemoryBudgets() const;
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -48,8 +48,10 @@
   return text.str();
 }
 
-net::ServerLimits LimitsOf(const dispatch::ClientLimits& from) {
+net::ServerLimits LimitsOf(const dispatch::ClientLimits& from,
+                           const adapter::InstanceSettings& settings) {
   net::ServerLimits limits;
+  limits.max_framing_bytes = static_cast<size_t>(settings.max_framing_bytes);
   limits.max_header_bytes = from.max_header_bytes;
   limits.max_body_bytes = from.max_body_bytes;
   limits.header_timeout = from.header_timeout;
@@ -319,14 +321,18 @@
 
 void Front::OnViewChange() {
   if (state_.view.has_config()) {
-    callers_.SetLimits(LimitsOf(state_.view.config().limits));
-    net::ServerLimits limits = callers_.limits();
-    // Another instance adds headers.
-    limits.max_header_bytes += kMaxAddedHeaderBytes;
-    control_.SetLimits(limits);
+    ApplyClientLimits(state_.view.config().limits);
   }
 }
 
+void Front::ApplyClientLimits(const dispatch::ClientLimits& from) {
+  net::ServerLimits limits = LimitsOf(from, state_.settings);
+  callers_.SetLimits(limits);
+  // Another instance adds headers.
+  limits.max_header_bytes += kMaxAddedHeaderBytes;
+  control_.SetLimits(limits);
+}
+
 void Front::AwaitSignal() {
   signals_.async_wait(
       [this](const boost::system::error_code& error, int signal) {
@@ -440,6 +446,7 @@
   settings.first_start = state_.settings.first_start;
   state_.settings = std::move(settings);
   ApplyResourceLimits();
+  OnViewChange();
   state_.log.Write(EventLog::Level::kImportant, "reload", {}, BootNow());
 }
 
--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -28,6 +28,9 @@
 struct ServerLimits {
   size_t max_header_bytes = 16384;
   size_t max_body_bytes = 4194304;
+  // What chunk sizes, chunk extensions and line ends may take beside 16 bytes
+  // for each byte of the body.
+  size_t max_framing_bytes = 1048576;
   // From the first byte of a request to the end of its head, and the longest
   // pause between two reads of its body.
   absl::Duration header_timeout = absl::Seconds(3);
@@ -118,6 +121,8 @@
   void Refuse(int status, const char* reason);
   // Sends an error response without reporting it, then closes.
   void SendRefusal(ResponseHead head);
+  // Whether the body has taken more on the wire than is allowed for its size.
+  bool HasTooMuchFraming() const;
   // Null when the framing of a parsed head is unambiguous.
   const char* FramingError() const;
   void OnRequestRead();
@@ -209,6 +214,8 @@
   std::unique_ptr<Reader> reader_;
   RequestHead request_;
   std::shared_ptr<RequestBody> body_;
+  // Bytes that the body in progress has taken with its framing.
+  uint64_t body_wire_bytes_ = 0;
   std::shared_ptr<ClientObserver> observer_;
   MemoryCharge charge_;
   // The event loop may hold this for longer than the server lives.
--- a/packages/net/src/server_connection.cc
+++ b/packages/net/src/server_connection.cc
@@ -12,6 +12,9 @@
 
 // A client that acknowledges no bytes for this long is considered gone.
 constexpr absl::Duration kClientAckTimeout = absl::Seconds(6);
+// A one-byte chunk takes 6 bytes, and 13 if its size is written in eight
+// digits.
+constexpr uint64_t kWireBytesPerBodyByte = 17;
 
 }  // namespace
 
@@ -56,6 +59,7 @@
   reader_->message.body_limit(
       static_cast<uint64_t>(server_.limits_.max_body_bytes));
   request_ = {};
+  body_wire_bytes_ = 0;
   observer_.reset();
   state_ = State::kIdle;
   NoteProgress(0);  // Idle since now.
@@ -148,12 +152,15 @@
   boost::beast::error_code error;
   const size_t consumed = reader_->message.Feed(buffer_, error);
   buffer_.erase(0, consumed);
+  if (state_ == State::kReadingBody) {
+    body_wire_bytes_ += consumed;
+  }
   namespace http = boost::beast::http;
   if (error == http::error::header_limit) {
     Refuse(431, "Request Header Fields Too Large");
     return;
   }
-  if (error == http::error::body_limit) {
+  if (error == http::error::body_limit || HasTooMuchFraming()) {
     Refuse(413, "Content Too Large");
     return;
   }
@@ -187,6 +194,11 @@
   }
 }
 
+bool ServerConnection::HasTooMuchFraming() const {
+  return body_wire_bytes_ > server_.limits_.max_framing_bytes +
+                                kWireBytesPerBodyByte * body_->bytes.size();
+}
+
 const char* ServerConnection::FramingError() const {
   const Headers& headers = request_.headers;
   const int codings = headers.Count("Transfer-Encoding");
--- a/tests/adapter/node_settings_test.cc
+++ b/tests/adapter/node_settings_test.cc
@@ -26,6 +26,7 @@
   cores: 2
   memory_mb: 160
   max_fds: 4100
+  max_framing_bytes: 65536
 unknown_key: 7
 bounds:
   grace_s: 8
@@ -57,6 +58,7 @@
   CHECK(settings.max_apply_delay == absl::Seconds(3));
   CHECK(settings.memory_mb == 160);
   CHECK(settings.max_fds == 4100);
+  CHECK(settings.max_framing_bytes == 65536);
   // The default, as it is not set.
   CHECK(settings.cold_overage == 1.5);
 }
--- a/tests/front_soak/endless_framing_test.cc
+++ b/tests/front_soak/endless_framing_test.cc
@@ -77,14 +77,33 @@
   MeetCrowd(script);
 }
 
-TEST_CASE("one-byte chunks with long extensions") {
+std::string ExtendedChunks(size_t count) {
   const std::string chunk =
       absl::StrCat("1;e=", std::string(kExtension, 'e'), "\r\nx\r\n");
-  std::string request = ChunkedHead("/once/hold");
-  for (size_t i = 0; i < kPieces; ++i) {
-    request += chunk;
+  std::string chunks;
+  for (size_t i = 0; i < count; ++i) {
+    chunks += chunk;
   }
-  MeetCrowd({Shared(request), kPiece});
+  return chunks;
+}
+
+TEST_CASE("one-byte chunks with long extensions") {
+  MeetCrowd(
+      {Shared(ChunkedHead("/once/hold") + ExtendedChunks(kPieces)), kPiece});
+}
+
+// They cost the processor time of ordinary callers, not memory.
+TEST_CASE("a small body with too much framing is refused") {
+  LimitedInstance instance;
+  const std::string end = "0\r\n\r\n";
+  CHECK_THAT(
+      instance.Ask(ChunkedHead("/once/x") + ExtendedChunks(kPieces) + end),
+      Catch::StartsWith("HTTP/1.1 413"));
+  CHECK_THAT(instance.Ask(ChunkedHead("/once/x") + ExtendedChunks(4) + end),
+             Catch::StartsWith("HTTP/1.1 200"));
+  // Legal chunks of one byte, as many as fit.
+  CHECK_THAT(instance.Ask(ChunkedHead("/once/x") + Chunks(kMaxBody, 1) + end),
+             Catch::StartsWith("HTTP/1.1 200"));
 }
 
 }  // namespace
--- a/tests/front_soak/limited_instance.cc
+++ b/tests/front_soak/limited_instance.cc
@@ -164,13 +164,20 @@
 }
 
 std::string LimitedInstance::Settings(size_t max_fds) const {
-  return absl::StrCat("node_name: front-1\nzone: east\nip: ", settings_.ip,
-                      "\nlisten:\n  front: ", callers(),
-                      "\n  ready: ", readiness(), "\n  control: ", control(),
-                      "\ninternal_ports: [", settings_.peer_port,
-                      "]\nseeds: []\nplatform:\n  address: ", store_.address(),
-                      "\nlimits:\n  memory_mb: ", kMemoryMb,
-                      "\n  max_fds: ", max_fds, "\nbootstrap: true\n");
+  return absl::StrCat(
+      "node_name: front-1\nzone: east\nip: ", settings_.ip,
+      "\nlisten:\n  front: ", callers(), "\n  ready: ", readiness(),
+      "\n  control: ", control(), "\ninternal_ports: [", settings_.peer_port,
+      "]\nseeds: []\nplatform:\n  address: ", store_.address(),
+      "\nlimits:\n  memory_mb: ", kMemoryMb, "\n  max_fds: ", max_fds,
+      "\n  max_framing_bytes: ", kMaxFraming, "\nbootstrap: true\n");
+}
+
+std::string LimitedInstance::Ask(const std::string& request) const {
+  RawClient client(callers(), 0, source_);
+  client.SetReadLimit(kHangGuard);
+  client.Send(request);
+  return client.ReadAnswer();
 }
 
 bool LimitedInstance::AwaitStatus(const std::string& address,
--- a/tests/front_soak/limited_instance.h
+++ b/tests/front_soak/limited_instance.h
@@ -18,6 +18,7 @@
 inline constexpr size_t kMemoryMb = 40;
 inline constexpr size_t kMaxFds = 4100;
 inline constexpr size_t kMaxBody = size_t{256} << 10;
+inline constexpr size_t kMaxFraming = size_t{128} << 10;
 // The resident memory that the process may have at any time, and may keep over
 // its memory at the start once the crowd has left.
 inline constexpr size_t kMaxResident = kMemoryMb << 20;
@@ -61,6 +62,9 @@
   // Notes what the process uses now.
   void Measure();
 
+  // The start of what an ordinary client gets for one request.
+  std::string Ask(const std::string& request) const;
+
   // Sends the crowd's bytes, and asks for ordinary answers while the crowd
   // stays: to the probe, to a small request and to one as large as is allowed.
   // Then the crowd leaves, and another small one is asked.
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -146,6 +146,54 @@
   CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 400"));
 }
 
+// Sends `count` one-byte chunks with an extension of that many bytes, and the
+// last chunk.
+std::string ExtendedChunks(size_t count, size_t extension) {
+  const std::string chunk =
+      absl::StrCat("1;e=", std::string(extension, 'e'), "\r\nx\r\n");
+  std::string request =
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (size_t i = 0; i < count; ++i) {
+    request += chunk;
+  }
+  return request + "0\r\n\r\n";
+}
+
+// Chunk extensions let a body of 4 MiB take 32 GB on the wire.
+TEST_CASE("a body with more framing than the limit is refused") {
+  ServerLimits limits;
+  limits.max_framing_bytes = 100000;
+  Running running(Echo, limits);
+  RawClient client(running.address());
+  client.Send(ExtendedChunks(100, 8000));
+  CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 413"));
+  RawClient small(running.address());
+  small.Send(ExtendedChunks(100, 900));
+  CHECK_THAT(small.ReadAnswer(), Catch::StartsWith("HTTP/1.1 200"));
+}
+
+TEST_CASE("the longest body in one-byte chunks is within the default limits") {
+  size_t body_bytes = 0;
+  Running running([&](std::shared_ptr<ServerConnection> client) {
+    body_bytes = client->body()->size();
+    ResponseHead head;
+    head.status = 200;
+    head.reason = "OK";
+    client->Respond(std::move(head), "");
+  });
+  RawClient client(running.address());
+  std::string request =
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const size_t longest = ServerLimits().max_body_bytes;
+  request.reserve(request.size() + 7 * longest);
+  for (size_t i = 0; i < longest; ++i) {
+    request += "01\r\nx\r\n";
+  }
+  client.Send(request + "0\r\n\r\n");
+  CHECK_THAT(client.ReadAnswer(), Catch::StartsWith("HTTP/1.1 200"));
+  CHECK(body_bytes == longest);
+}
+
 TEST_CASE("an incomplete head times out") {
   ServerLimits limits;
   limits.header_timeout = absl::Milliseconds(50);
