A trailer or chunk size must be complete within the header timeout

Seen: a client that sends a trailer, or the line with a chunk's size, a byte at a time kept its connection up to the limit of 16 KB on such bytes: with a byte a second for more than four hours.

Cause: each read put off the timeout of a body, also one that brought nothing the parser could use.

Change: only bytes that the parser consumes do, those of a body and each complete chunk size or trailer. So a trailer has the time that a head has. A body may be as slow as before, and its time begins with the end of the head instead of the request's first byte.

--- a/packages/net/include/umbertrail/net/server.h
+++ b/packages/net/include/umbertrail/net/server.h
@@ -31,8 +31,9 @@
   // What chunk sizes, chunk extensions and line ends may take beside 16 bytes
   // for each byte of the body.
   size_t max_framing_bytes = 1048576;
-  // From the first byte of a request to the end of its head, and the longest
-  // pause between two reads of its body.
+  // From the first byte of a request to the end of its head, the longest pause
+  // between two reads of its body, and the time for a chunk's size or the
+  // trailer to be complete.
   absl::Duration header_timeout = absl::Seconds(3);
   // Connections without a request are closed after this.
   absl::Duration idle_timeout = absl::Seconds(15);
@@ -114,13 +115,17 @@
 
   void Start();
   void ReadMore();
-  void OnRead(const boost::system::error_code& error, size_t bytes);
+  void OnRead(const boost::system::error_code& error);
   void Parse();
   void OnReadError(const boost::system::error_code& error);
   // Sends an error response, then closes.
   void Refuse(int status, const char* reason);
   // Sends an error response without reporting it, then closes.
   void SendRefusal(ResponseHead head);
+  // The parser has consumed bytes of the body and its framing.
+  void NoteBodyRead(size_t bytes);
+  // The request times out unless more of it is parsed within the limit.
+  void LimitReading();
   // Whether the body has taken more on the wire than is allowed for its size.
   bool HasTooMuchFraming() const;
   // Null when the framing of a parsed head is unambiguous.
--- a/packages/net/src/server_connection.cc
+++ b/packages/net/src/server_connection.cc
@@ -87,12 +87,11 @@
         self->reading_ = false;
         self->buffer_.append(self->read_buffer_.data(), bytes);
         self->ChargeBuffer();
-        self->OnRead(error, bytes);
+        self->OnRead(error);
       });
 }
 
-void ServerConnection::OnRead(const boost::system::error_code& error,
-                              size_t bytes) {
+void ServerConnection::OnRead(const boost::system::error_code& error) {
   if (state_ == State::kClosed) {
     return;
   }
@@ -105,10 +104,6 @@
     ReadMore();
     return;
   }
-  if (state_ == State::kReadingBody && bytes > 0) {
-    timer_.Set(server_.limits_.header_timeout, shared_from_this(),
-               &ServerConnection::OnTimer);
-  }
   if (state_ != State::kResponding) {
     Parse();
   }
@@ -142,8 +137,7 @@
   }
   if (state_ == State::kIdle) {
     state_ = State::kReadingHead;
-    timer_.Set(server_.limits_.header_timeout, shared_from_this(),
-               &ServerConnection::OnTimer);
+    LimitReading();
   }
   if (state_ == State::kReadingBody && !GrowBody()) {
     RefuseForMemory(ShedReason::kNoMemory);
@@ -153,7 +147,7 @@
   const size_t consumed = reader_->message.Feed(buffer_, error);
   buffer_.erase(0, consumed);
   if (state_ == State::kReadingBody) {
-    body_wire_bytes_ += consumed;
+    NoteBodyRead(consumed);
   }
   namespace http = boost::beast::http;
   if (error == http::error::header_limit) {
@@ -175,6 +169,7 @@
       return;
     }
     state_ = State::kReadingBody;
+    LimitReading();
     if (!HasRoomForBody()) {
       RefuseForMemory(ShedReason::kNoMemory);
       return;
@@ -194,6 +189,18 @@
   }
 }
 
+void ServerConnection::NoteBodyRead(size_t bytes) {
+  body_wire_bytes_ += bytes;
+  if (bytes > 0) {
+    LimitReading();
+  }
+}
+
+void ServerConnection::LimitReading() {
+  timer_.Set(server_.limits_.header_timeout, shared_from_this(),
+             &ServerConnection::OnTimer);
+}
+
 bool ServerConnection::HasTooMuchFraming() const {
   return body_wire_bytes_ > server_.limits_.max_framing_bytes +
                                 kWireBytesPerBodyByte * body_->bytes.size();
--- a/tests/net/server_test.cc
+++ b/tests/net/server_test.cc
@@ -203,6 +203,28 @@
   CHECK_THAT(client.ReadToEnd(), Catch::StartsWith("HTTP/1.1 408"));
 }
 
+// Each byte put off the timeout, up to the limit on the bytes of a trailer.
+TEST_CASE("a trailer or chunk size that goes on a byte at a time times out") {
+  ServerLimits limits;
+  limits.header_timeout = absl::Milliseconds(50);
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string starts[] = {head + "0\r\nX-T: ", head + "1\r\nx\r\n0"};
+  for (const std::string& start : starts) {
+    CAPTURE(start);
+    Running running(Echo, limits);
+    RawClient client(running.address());
+    client.SetReadLimit(absl::Milliseconds(1));
+    client.Send(start);
+    std::string answer;
+    while (answer.empty()) {
+      client.Send("0");
+      answer = client.ReadToEnd();
+    }
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 408"));
+  }
+}
+
 TEST_CASE("an idle connection is closed without a response") {
   ServerLimits limits;
   limits.idle_timeout = absl::Milliseconds(50);
