Own interface: a chunk size or trailer line without end is refused

Seen: by reading before, shown now. A caller that sends a chunk's size, its extension or a trailer line without end made the process keep all of it until the read timeout (30 s), with a thread and a connection each.

Cause: the library reads these lines byte by byte and keeps each whole; our stream bounded the head alone.

Change: the stream counts the bytes of such a line, which are the ones that are asked for one by one, and ends the request beyond the limit of a head.

Evidence: http_server_test, 64 KiB of such bytes with a limit of 8 KiB and a read timeout of an hour: no answer within the client's 30 s before, for all three lines; refused at once now. 20,000 one-byte chunks with short extensions are served as before. daemon_front_test, 24 cases, passes.

--- a/packages/daemon/src/http_server.cc
+++ b/packages/daemon/src/http_server.cc
@@ -74,6 +74,7 @@
   void BeginRequest() {
     in_head_ = true;
     head_bytes_ = 0;
+    line_bytes_ = 0;
     read_deadline_ = MonotonicNow() + options_.read_timeout;
   }
   // The head has been read whole.
@@ -99,6 +100,9 @@
     std::copy_n(buf_.data() + begin_, n, ptr);
     begin_ += n;
     head_bytes_ += n;
+    if (!in_head_ && IsEndlessLine(ptr, n, size)) {
+      return -1;
+    }
     return static_cast<ssize_t>(n);
   }
   ssize_t write(const char* ptr, size_t size) override {
@@ -122,6 +126,14 @@
   socket_t socket() const override { return fd_; }
 
  private:
+  // Whether a chunk's size or the trailer is longer than a head may be. The
+  // library reads these lines byte by byte and keeps each until its end.
+  bool IsEndlessLine(const char* bytes, size_t n, size_t asked) {
+    const bool is_line = asked == 1 && n == 1 && *bytes != '\n';
+    line_bytes_ = is_line ? line_bytes_ + 1 : 0;
+    return line_bytes_ > options_.header_bytes;
+  }
+
   bool Fill() {
     const ssize_t n =
         transport_->Read(buf_.data(), buf_.size(), read_deadline_);
@@ -146,6 +158,7 @@
   const HttpServerOptions& options_;
   bool in_head_ = true;
   size_t head_bytes_ = 0;
+  size_t line_bytes_ = 0;
   absl::Time read_deadline_ = absl::InfiniteFuture();
   std::array<char, kReadBufferBytes> buf_;
   size_t begin_ = 0;
