Bound what datagrams from other addresses make an instance keep

Seen: by reading, shown by tests. Whoever reaches the port between instances could fill the process's memory: each datagram of 64 KB may name targets that no report named before, with some thousand items, and members that do not exist.

What one of them reports was only replaced target by target, or dropped after 1.5 s of silence; and members that gossip names were kept in any number, each of which made all be kept longer.

Change: all peers together may report 131,072 items, about 20 MB; at 3,300 requests a second, the peak that the fleet is designed for, those are the requests of 39 s. A report beyond is dropped with a log line (peer_load_dropped) and the peer counts as idle there. Members are limited to those of the largest fleet, 8,192.

Evidence: dispatch_test, 262 reports of 1,000 items: 262,000 kept before, no more than 131,072 now, and what is removed makes room again; 16,383 members: 16,384 live before, 8,192 now. In a fleet within the limits nothing changes.

--- a/packages/dispatch/include/umbertrail/dispatch/load_board.h
+++ b/packages/dispatch/include/umbertrail/dispatch/load_board.h
@@ -58,6 +58,9 @@
   // Failure-detection timeout: a peer silent for this long is considered
   // failed, and its load is removed.
   static constexpr absl::Duration kPeerTimeout = absl::Milliseconds(1500);
+  // Most items that all peers together may report, about 20 MB: anyone who
+  // reaches the port of the instances can send reports.
+  static constexpr size_t kMaxPeerItems = 131072;
 
   // `on_change` runs whenever this instance's own load changes.
   void SetOnChange(std::function<void()> on_change) {
@@ -74,8 +77,9 @@
   bool HoldsReservedMemory(WorkId id) const;
 
   // Replaces the load reported by `peer` at `target`. Drops the peer's
-  // reservations there.
-  void SetPeerLoad(const InstanceId& peer,
+  // reservations there. Returns false if there is no room for the items; the
+  // peer then counts as idle there.
+  bool SetPeerLoad(const InstanceId& peer,
                    const TargetId& target,
                    std::vector<WorkItem> items);
   // Reserves capacity granted to `peer` at `now`, until the peer reports its
@@ -123,6 +127,8 @@
   absl::flat_hash_map<TargetId, std::map<InstanceId, std::vector<WorkItem>>>
       peer_load_;
   std::map<InstanceId, std::set<TargetId>> peer_targets_;
+  // Items in `peer_load_`.
+  size_t peer_items_ = 0;
   absl::flat_hash_map<TargetId, std::vector<Reservation>> reservations_;
   std::map<InstanceId, absl::Time> last_heartbeat_;
 
--- a/packages/dispatch/src/load_board.cc
+++ b/packages/dispatch/src/load_board.cc
@@ -51,17 +51,20 @@
          found->second.item.memory.value_or(Tokens(0)) > Tokens(0);
 }
 
-void LoadBoard::SetPeerLoad(const InstanceId& peer,
+bool LoadBoard::SetPeerLoad(const InstanceId& peer,
                             const TargetId& target,
                             std::vector<WorkItem> items) {
   DropReservations(peer, target);
-  if (items.empty()) {
-    ErasePeerLoad(peer, target);
+  ErasePeerLoad(peer, target);
+  const bool fits = items.size() <= kMaxPeerItems - peer_items_;
+  if (items.empty() || !fits) {
     peer_targets_[peer].erase(target);
-    return;
+    return fits;
   }
+  peer_items_ += items.size();
   peer_load_[target][peer] = std::move(items);
   peer_targets_[peer].insert(target);
+  return true;
 }
 
 void LoadBoard::ErasePeerLoad(const InstanceId& peer, const TargetId& target) {
@@ -69,7 +72,11 @@
   if (found == peer_load_.end()) {
     return;
   }
-  found->second.erase(peer);
+  const auto reported = found->second.find(peer);
+  if (reported != found->second.end()) {
+    peer_items_ -= reported->second.size();
+    found->second.erase(reported);
+  }
   if (found->second.empty()) {
     peer_load_.erase(found);
   }
--- a/packages/dispatch/src/members.cc
+++ b/packages/dispatch/src/members.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <iterator>
 
+#include "umbertrail/dispatch/fleet_size.h"
+
 namespace umbertrail::dispatch {
 namespace {
 
@@ -20,6 +22,7 @@
 constexpr size_t kRecentEntryDivisor = 4;
 // Minimum time for which a member stays suspect.
 constexpr absl::Duration kMinSuspicion = absl::Milliseconds(1500);
+constexpr size_t kMaxOthers = FleetSize::kMaxInstances - 1;
 
 }  // namespace
 
@@ -27,6 +30,9 @@
   if (entry.id == self_.id) {
     return;
   }
+  if (others_.size() >= kMaxOthers && others_.count(entry.id) == 0) {
+    return;
+  }
   Member& known = others_[entry.id];
   if (known.id.empty() || entry.last_heard > known.last_heard) {
     known = entry;
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -191,7 +191,14 @@
     for (const PeerWork& work : target.work) {
       items.push_back(FromWire(work, now));
     }
-    state_.board.SetPeerLoad(from, TargetId(target.target), std::move(items));
+    if (!state_.board.SetPeerLoad(from, TargetId(target.target),
+                                  std::move(items))) {
+      state_.log.Write(EventLog::Level::kNormal, "peer_load_dropped",
+                       {{"from", absl::string_view(from.text())},
+                        {"target", absl::string_view(target.target)},
+                        {"items", static_cast<int64_t>(target.work.size())}},
+                       now);
+    }
   }
 }
 
--- a/tests/dispatch/load_board_test.cc
+++ b/tests/dispatch/load_board_test.cc
@@ -1,6 +1,8 @@
 #include "umbertrail/dispatch/load_board.h"
 
 #include <catch2/catch.hpp>
+#include <string>
+#include <vector>
 
 namespace umbertrail::dispatch {
 namespace {
@@ -103,5 +105,31 @@
   CHECK(board.OwnTargets().empty());
 }
 
+// Datagrams with ever new targets filled the memory.
+TEST_CASE("the load that peers report is bounded") {
+  constexpr size_t kMost = 131072;
+  constexpr size_t kItems = 1000;
+  constexpr size_t kReports = 2 * kMost / kItems;
+  LoadBoard board;
+  const InstanceId peer("p");
+  const std::vector<WorkItem> items(kItems, Prefilling());
+  const auto name = [](size_t i) { return TargetId("t" + std::to_string(i)); };
+  for (size_t i = 0; i < kReports; ++i) {
+    board.SetPeerLoad(peer, name(i), items);
+    // Replacing a report takes no more.
+    board.SetPeerLoad(peer, name(0), items);
+  }
+  size_t held = 0;
+  for (size_t i = 0; i < kReports; ++i) {
+    held += board.LoadAt(name(i), kStart).size();
+  }
+  CHECK(held <= kMost);
+  CHECK(held > kMost - kItems);
+  // What the peer no longer reports makes room.
+  board.RemovePeer(peer);
+  board.SetPeerLoad(InstanceId("q"), kTarget, items);
+  CHECK(board.LoadAt(kTarget, kStart).size() == kItems);
+}
+
 }  // namespace
 }  // namespace umbertrail::dispatch
--- a/tests/dispatch/members_test.cc
+++ b/tests/dispatch/members_test.cc
@@ -245,5 +245,22 @@
   CHECK(fleet.UnknownPairs() <= 175 * 175 / 100);
 }
 
+// Datagrams with ever new addresses filled the memory.
+TEST_CASE("members beyond the largest fleet are not kept") {
+  constexpr int kMost = 8192;
+  Members members(MemberNumber(0));
+  for (int i = 1; i < 2 * kMost; ++i) {
+    members.Merge(HeardAt(i, kStart));
+  }
+  CHECK(members.Live(kStart).size() == kMost);
+  // A known one is still updated.
+  const absl::Time later = kStart + absl::Seconds(1);
+  members.Merge(HeardAt(1, later));
+  const auto live = members.Live(later);
+  CHECK(std::any_of(live.begin(), live.end(), [&](const Member* it) {
+    return it->last_heard == later && it->id == MemberNumber(1).id;
+  }));
+}
+
 }  // namespace
 }  // namespace umbertrail::dispatch
