Own interface: bound the bodies of all requests together

Seen: by reading. 512 connections with a body of 16 MiB each, sent and stopped short of their end, hold 8 GB for as long as the read timeout of 30 s. Only callers with a key can do so on the routes; the account's limits come later.

Cause: each body had a limit, all of them together had none.

Change: limits.body_memory (256 MiB unless set) is what all bodies may hold; a body that doesn't fit is answered with 503 and Retry-After, as not run. The buffer of a body grows by charged steps instead of std::string's own.

Open: a crowd with a key can refill this memory after each read timeout; stalled bodies don't make room as they do on the users' platform.

--- a/packages/daemon/include/umbertrail/daemon/caller_server.h
+++ b/packages/daemon/include/umbertrail/daemon/caller_server.h
@@ -29,6 +29,8 @@
   size_t connections = 512;
   // Largest body that any reload may allow.
   size_t max_body_bytes = size_t{256} << 20;
+  // For the bodies of all requests together.
+  size_t body_memory = size_t{256} << 20;
   absl::Duration read_timeout = absl::Seconds(30);
   absl::Duration write_timeout = absl::Seconds(10);
   absl::Duration idle_timeout = absl::Seconds(5);
--- a/packages/daemon/include/umbertrail/daemon/settings.h
+++ b/packages/daemon/include/umbertrail/daemon/settings.h
@@ -20,6 +20,7 @@
   std::string peer_key_file;
   int64_t body_bytes = 0;
   int64_t service_body_bytes = 0;
+  int64_t body_memory = 0;
   int64_t header_bytes = 0;
   int64_t relay_bytes = 0;
   int64_t connections = 0;
--- a/packages/daemon/src/caller_server.cc
+++ b/packages/daemon/src/caller_server.cc
@@ -1,10 +1,12 @@
 #include "umbertrail/daemon/caller_server.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "body_budget.h"
 #include "caller_json.h"
 #include "http_server.h"
 #include "in_flight.h"
@@ -13,6 +15,8 @@
 namespace umbertrail::daemon {
 namespace {
 
+using detail::BodyBudget;
+using detail::BodyCharge;
 using detail::HttpServer;
 using detail::InFlight;
 
@@ -108,24 +112,54 @@
                 absl::StrCat("the body is over ", limit, " bytes"));
 }
 
+Refusal NoBodyMemory() {
+  Refusal refusal =
+      NotRun(core::Reason::kOverloaded, "no memory is left for the body");
+  refusal.retry_after = absl::Seconds(1);
+  return refusal;
+}
+
+// Adds bytes to a body of at most `limit` bytes whose memory is charged; false
+// if there is none.
+bool Append(const char* data,
+            size_t n,
+            size_t limit,
+            BodyCharge* charge,
+            std::string* body) {
+  const size_t need = body->size() + n;
+  if (need > body->capacity()) {
+    const size_t capacity =
+        std::min(std::max(need, 2 * body->capacity()), limit);
+    if (!charge->GrowTo(capacity)) {
+      return false;
+    }
+    body->reserve(capacity);
+  }
+  body->append(data, n);
+  return true;
+}
+
 Filtered<std::string> ReadBody(const httplib::Request& req,
                                const httplib::ContentReader& reader,
-                               size_t limit) {
+                               size_t limit,
+                               BodyCharge* charge) {
   if (req.get_header_value<uint64_t>("Content-Length") > limit) {
     return TooLarge(limit);
   }
   std::string body;
   bool too_large = false;
+  bool no_memory = false;
   const bool whole = reader([&](const char* data, size_t n) {
     too_large = body.size() + n > limit;
-    if (!too_large) {
-      body.append(data, n);
-    }
-    return !too_large;
+    no_memory = !too_large && !Append(data, n, limit, charge, &body);
+    return !too_large && !no_memory;
   });
   if (too_large) {
     return TooLarge(limit);
   }
+  if (no_memory) {
+    return NoBodyMemory();
+  }
   if (!whole) {
     return NotRun(408, "malformed", "the body did not arrive whole");
   }
@@ -163,7 +197,9 @@
 class CallerServer::Impl {
  public:
   Impl(CallerServerOptions options, CallerServerParts parts)
-      : options_(std::move(options)), parts_(std::move(parts)) {}
+      : options_(std::move(options)),
+        parts_(std::move(parts)),
+        body_budget_(options_.body_memory) {}
 
   Result<Done> Start();
   std::string address() const { return server_->address(); }
@@ -191,6 +227,7 @@
   std::optional<std::string> Receive(const httplib::Request& req,
                                      const httplib::ContentReader& reader,
                                      size_t limit,
+                                     BodyCharge* charge,
                                      Caller* caller,
                                      httplib::Response* res);
   template <typename T>
@@ -216,6 +253,7 @@
 
   const CallerServerOptions options_;
   const CallerServerParts parts_;
+  BodyBudget body_budget_;
   std::unique_ptr<HttpServer> server_;
 };
 
@@ -228,8 +266,9 @@
   if (!caller.has_value()) {
     return;
   }
+  BodyCharge charge(&body_budget_);
   const auto body =
-      Receive(req, reader, parts_.limits().body_bytes, &*caller, res);
+      Receive(req, reader, parts_.limits().body_bytes, &charge, &*caller, res);
   if (!body.has_value()) {
     return;
   }
@@ -257,8 +296,9 @@
   if (!caller.has_value()) {
     return;
   }
-  auto body =
-      Receive(req, reader, parts_.limits().service_body_bytes, &*caller, res);
+  BodyCharge charge(&body_budget_);
+  auto body = Receive(req, reader, parts_.limits().service_body_bytes, &charge,
+                      &*caller, res);
   if (!body.has_value()) {
     return;
   }
@@ -282,8 +322,9 @@
   if (!caller.has_value()) {
     return;
   }
-  const auto body =
-      Receive(req, reader, parts_.limits().service_body_bytes, &*caller, res);
+  BodyCharge charge(&body_budget_);
+  const auto body = Receive(req, reader, parts_.limits().service_body_bytes,
+                            &charge, &*caller, res);
   if (!body.has_value()) {
     return;
   }
@@ -317,10 +358,11 @@
     const httplib::Request& req,
     const httplib::ContentReader& reader,
     size_t limit,
+    BodyCharge* charge,
     Caller* caller,
     httplib::Response* res) {
   const absl::Time begun = detail::MonotonicNow();
-  Filtered<std::string> body = ReadBody(req, reader, limit);
+  Filtered<std::string> body = ReadBody(req, reader, limit, charge);
   if (const auto* refusal = std::get_if<Refusal>(&body)) {
     AnswerUnread(ForRequest(req, *refusal), caller->caller_id, res);
     return std::nullopt;
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -69,6 +69,7 @@
   CallerServerOptions options;
   options.address = settings.callers_address;
   options.header_bytes = static_cast<size_t>(settings.header_bytes);
+  options.body_memory = static_cast<size_t>(settings.body_memory);
   options.connections = static_cast<size_t>(settings.connections);
   options.read_timeout = settings.read_timeout;
   options.write_timeout = settings.write_timeout;
--- a/packages/daemon/src/http_server.h
+++ b/packages/daemon/src/http_server.h
@@ -24,8 +24,9 @@
 };
 
 // A cpp-httplib server over sockets of our own. The library gives a handler no
-// way to see its connection, bounds neither a request's head, nor the lines of a
-// chunked body, nor the time they take to arrive, and cuts answers by a Range header; this class mends that.
+// way to see its connection, bounds neither a request's head, nor the lines of
+// a chunked body, nor the time they take to arrive, and cuts answers by a Range
+// header; this class mends that.
 class HttpServer : public httplib::Server {
  public:
   // `tls` may be null: plain HTTP.
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -132,6 +132,17 @@
        true,
        "Largest body of a service call. It must fit into one message between "
        "instances."},
+      {"limits.body_memory",
+       SettingType::kInteger,
+       &Settings::body_memory,
+       "268435456",
+       "bytes",
+       kMebibyte,
+       65536 * kMebibyte,
+       {},
+       false,
+       "Bodies of all requests together; a request whose body doesn't fit is "
+       "answered with 503. At least limits.body_bytes."},
       {"limits.header_bytes",
        SettingType::kInteger,
        &Settings::header_bytes,
--- a/tests/daemon/caller_server_test.cc
+++ b/tests/daemon/caller_server_test.cc
@@ -497,6 +497,45 @@
   CHECK(first.Read().find(" 200 ") != std::string::npos);
 }
 
+class LittleMemoryTest : public FrontTest {
+ protected:
+  static CallerServerOptions Options() {
+    CallerServerOptions options = TestOptions();
+    options.body_memory = 2 * size_t{4096};
+    options.read_timeout = absl::Hours(1);
+    return options;
+  }
+  LittleMemoryTest() : FrontTest(Options()) { core_.SetScript(AnswerTwoParts); }
+
+  bool AwaitStatus(int status) {
+    for (const absl::Time until = absl::Now() + kPatience;
+         absl::Now() < until;) {
+      const auto result = Complete();
+      if (result && result->status == status) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+// Nothing bounded what the bodies of all connections held together.
+TEST_CASE_METHOD(LittleMemoryTest,
+                 "bodies beyond the memory for them get 503") {
+  RawClient first(server_.address());
+  RawClient second(server_.address());
+  for (RawClient* it : {&first, &second}) {
+    it->Send(Head(4096) + std::string(4095, 'x'));
+  }
+  REQUIRE(AwaitStatus(503));
+  const auto refused = Complete();
+  REQUIRE(refused);
+  CHECK(refused->get_header_value("Retry-After") == "1");
+  CHECK(Json::parse(refused->body)["error"]["ran"] == "no");
+  first.Close();
+  CHECK(AwaitStatus(200));
+}
+
 TEST_CASE_METHOD(FrontTest, "stopping lets answers in flight end") {
   RawClient client(server_.address());
   const std::string body = R"({"model":"m","prompt":"p","max_tokens":9})";
