Tests: slow clients that come back whenever they are disconnected

The crowds of slow_clients_test left for good when they were refused; clients that an operator doesn't control may come again at once.

--- a/tests/front_soak/client_crowd.cc
+++ b/tests/front_soak/client_crowd.cc
@@ -40,15 +40,21 @@
 }
 
 void ClientCrowd::Add(const ClientScript& script) {
+  Client client;
+  client.script = script;
+  Connect(client);
+  clients_.push_back(client);
+}
+
+void ClientCrowd::Connect(Client& client) const {
   const size_t colon = address_.find(':');
   int port = 0;
   static_cast<void>(absl::SimpleAtoi(address_.substr(colon + 1), &port));
-  Client client;
-  client.script = script;
   client.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (script.receive_buffer > 0) {
-    ::setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &script.receive_buffer,
-                 sizeof(script.receive_buffer));
+  const int receive_buffer = client.script.receive_buffer;
+  if (receive_buffer > 0) {
+    ::setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
   }
   sockaddr_in to{};
   to.sin_family = AF_INET;
@@ -59,7 +65,6 @@
     ::close(client.socket);
     client.socket = -1;
   }
-  clients_.push_back(client);
 }
 
 bool ClientCrowd::SendPiece(Client& client) {
@@ -97,7 +102,7 @@
   }
 }
 
-void ClientCrowd::SendTrickle(Client& client) {
+void ClientCrowd::SendTrickle(Client& client) const {
   const std::string& bytes = *client.script.trickle;
   if (client.trickled == bytes.size()) {
     return;
@@ -105,6 +110,14 @@
   const ssize_t sent = ::send(client.socket, &bytes[client.trickled], 1,
                               MSG_NOSIGNAL | MSG_DONTWAIT);
   client.trickled += sent > 0 ? size_t{1} : 0;
+  const bool disconnected = sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+  if (disconnected && client.script.comes_back) {
+    ::close(client.socket);
+    Connect(client);
+    client.sent = 0;
+    client.trickled = 0;
+    SendPiece(client);
+  }
 }
 
 void ClientCrowd::Trickle() {
--- a/tests/front_soak/client_crowd.h
+++ b/tests/front_soak/client_crowd.h
@@ -20,6 +20,8 @@
   int receive_buffer = 0;
   // Sent afterwards, a byte at a time, until the crowd leaves.
   std::shared_ptr<const std::string> trickle = nullptr;
+  // Connects and begins again, while trickling, whenever it is disconnected.
+  bool comes_back = false;
 };
 
 // Many client connections to one address that never read, driven by one thread
@@ -48,9 +50,10 @@
     size_t sent = 0;
     size_t trickled = 0;
   };
+  void Connect(Client& client) const;
   // Whether some bytes were sent.
   static bool SendPiece(Client& client);
-  static void SendTrickle(Client& client);
+  void SendTrickle(Client& client) const;
   void Trickle();
 
   const std::string address_;
--- a/tests/front_soak/slow_clients_test.cc
+++ b/tests/front_soak/slow_clients_test.cc
@@ -15,11 +15,14 @@
 constexpr size_t kFewFds = 600;
 constexpr size_t kManyBytes = size_t{16} << 10;
 
-void MeetSlowCrowd(const std::string& first, const std::string& trickle) {
+void MeetSlowCrowd(const std::string& first,
+                   const std::string& trickle,
+                   bool comes_back = false) {
   LimitedInstance instance(kFewFds);
   ClientCrowd crowd(instance.callers());
   ClientScript script = {Shared(first), kWhole};
   script.trickle = Shared(trickle);
+  script.comes_back = comes_back;
   // Each sends at once, as an idle connection would give way to the next one.
   for (int i = 0; i < kClients; ++i) {
     crowd.Add(script);
@@ -38,6 +41,18 @@
   MeetSlowCrowd(ChunkedHead("/once/hold"), Chunks(kManyBytes / 6, 1));
 }
 
+// Ordinary clients compete with them for each place that is given up.
+TEST_CASE("slow clients that come back whenever they are disconnected") {
+  MeetSlowCrowd(ChunkedHead("/once/hold"), Chunks(kManyBytes / 6, 1),
+                /*comes_back=*/true);
+}
+
+TEST_CASE("heads that come back whenever they are disconnected") {
+  MeetSlowCrowd(
+      "POST /once/hold HTTP/1.1\r\nX-Long: ", std::string(kManyBytes, 'h'),
+      /*comes_back=*/true);
+}
+
 TEST_CASE("chunk sizes that arrive a byte at a time") {
   MeetSlowCrowd(ChunkedHead("/once/hold"), std::string(kManyBytes, '0'));
 }
