--- a/review/stand_in_2/case_6.cc
+++ b/review/stand_in_2/case_6.cc
@@ -1,203 +1,155 @@
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
-#include <cstdlib>
+#include <cerrno>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "stand_in.h"
 
-// Clients that aren't under control send legal bodies piece by piece, in two
-// crowds. The first uploads bodies of the largest size, some of them on
-// connections that were idle before. The second holds many connections with
-// bodies in very small chunks that never end. Eight ordinary clients try all
-// the while.
+// Clients that aren't under control hold legal uploads of several sizes open
+// and so fill the memory for bodies. Ordinary clients book on connections that
+// they keep, as before.
 
 namespace review {
 namespace {
 
 constexpr size_t kLargestBody = 4194304;  // The config's max_body_bytes.
-// Uploads that go on slowly; together they fill the memory for bodies.
-constexpr int kSlowUploads = 14;
+// Uploads of the largest size that go on slowly, so that none is stalled.
+constexpr int kLarge = 14;
 constexpr size_t kFirstPiece = 600000;
 constexpr size_t kPiece = 12288;
 constexpr double kPieceInterval = 0.3;
-// Uploads on kept connections that were idle for a while.
-constexpr int kLateUploads = 400;
-constexpr int kLateAtOnce = 50;
-constexpr double kIdle = 0.7;
-// The second crowd.
-constexpr int kHolders = 1900;
-constexpr int kHolderAddresses = 8;
-constexpr double kChunkInterval = 1.0;
-constexpr double kHold = 14;
-// Ordinary clients, and how often each tries.
+// Uploads that stop just short of their end and stay open.
+constexpr int kMiddle = 143;
+constexpr size_t kMiddleBody = 65536;
+constexpr int kSmall = 31;
+constexpr size_t kSmallBody = 2048;
+constexpr double kLookInterval = 0.05;
+// Ordinary clients. Each keeps its connection idle for so long between two
+// bookings; the config's idle_timeout_ms are 15000.
 constexpr int kClients = 8;
-constexpr double kTryInterval = 0.25;
-// contact_ms of the settings.
-constexpr double kContact = 3.0;
+constexpr int kBookings = 3;
+constexpr double kIdle = 4.5;
+constexpr size_t kBookingBody = 3000;
 
-std::string Head(const std::string& id, const std::string& framing) {
-  return "POST /read/x HTTP/1.1\r\nHost: case.example\r\nX-Attempt-Id: " + id +
-         "\r\nX-Deadline-Ms: 10000\r\nAuthorization: Token key-a\r\n" +
-         framing + "\r\n\r\n";
-}
-
-std::string LargeHead(const std::string& id) {
-  return Head(id, "Content-Length: " + std::to_string(kLargestBody));
+std::string Head(const std::string& id, size_t length) {
+  return "POST /book/x HTTP/1.1\r\nHost: case.example\r\nX-Attempt-Id: " + id +
+         "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token key-a\r\n"
+         "Content-Length: " +
+         std::to_string(length) + "\r\n\r\n";
 }
 
 bool IsClosed(int fd) {
   char byte;
   const ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-// Uploads of the first crowd that go on all the while.
-void UploadSlowly(const InstanceOptions& to, const std::atomic<bool>& over) {
-  std::vector<int> open;
-  for (int i = 0; i < kSlowUploads; ++i) {
-    const int fd = Connect(to.ip, to.front_port);
-    SendAll(fd, LargeHead("slow" + std::to_string(i)) +
-                    std::string(kFirstPiece, 'x'));
-    open.push_back(fd);
+// The crowd. Uploads that are refused or closed begin anew.
+void Upload(const InstanceOptions& to, const std::atomic<bool>& over) {
+  struct One {
+    size_t length = 0;
+    int fd = -1;
+    size_t sent = 0;
+    double next = 0;
+  };
+  std::vector<One> all(kLarge + kMiddle + kSmall);
+  for (size_t i = 0; i < all.size(); ++i) {
+    all[i].length = i < kLarge             ? kLargestBody
+                    : i < kLarge + kMiddle ? kMiddleBody
+                                           : kSmallBody;
   }
+  int number = 0;
   while (!over) {
-    SleepFor(kPieceInterval);
-    for (const int fd : open) {
-      SendAll(fd, std::string(kPiece, 'x'));
-    }
-  }
-  for (const int fd : open) {
-    close(fd);
-  }
-}
-
-// Returns how many refusals the uploads got.
-int UploadLate(const InstanceOptions& to, int* begun) {
-  int refusals = 0;
-  for (int done = 0; done < kLateUploads; done += kLateAtOnce) {
-    std::vector<int> open;
-    for (int i = 0; i < kLateAtOnce; ++i) {
-      open.push_back(Connect(to.ip, to.front_port));
-    }
-    SleepFor(kIdle);
-    for (int i = 0; i < kLateAtOnce; ++i) {
-      SendAll(open[static_cast<size_t>(i)],
-              LargeHead("late" + std::to_string(done + i)));
-      ++*begun;
-    }
-    for (const int fd : open) {
-      Reader reader(fd);
-      while (reader.Read(false, 0.2).status() == 503) {
-        ++refusals;
+    for (One& one : all) {
+      if (one.fd >= 0 && IsClosed(one.fd)) {
+        close(one.fd);
+        one.fd = -1;
       }
-      close(fd);
-    }
-  }
-  return refusals;
-}
-
-// The second crowd.
-class Holders {
- public:
-  explicit Holders(InstanceOptions to) : to_(std::move(to)) {}
-
-  void Run(double seconds) {
-    std::vector<int> open(kHolders, -1);
-    const double until = Now() + seconds;
-    while (Now() < until) {
-      const double round = Now();
-      for (int i = 0; i < kHolders; ++i) {
-        int& fd = open[static_cast<size_t>(i)];
-        if (fd >= 0 && IsClosed(fd)) {
-          close(fd);
-          fd = -1;
-        }
-        if (fd < 0) {
-          fd = Connect(to_.ip, to_.front_port,
-                       CaseIp(10 + i % kHolderAddresses));
-          if (fd >= 0) {
-            SendAll(fd, Head("hold" + std::to_string(begun_++),
-                             "Transfer-Encoding: chunked"));
-          }
-        }
-        if (fd >= 0) {
-          SendAll(fd, "1\r\nx\r\n");
+      if (one.fd < 0) {
+        one.fd = Connect(to.ip, to.front_port);
+        if (one.fd < 0) {
+          continue;
         }
+        one.sent = std::min(kFirstPiece, one.length - 1);
+        SendAll(one.fd, Head("upload" + std::to_string(number++), one.length) +
+                            std::string(one.sent, 'x'));
+        one.next = Now() + kPieceInterval;
+      } else if (Now() >= one.next && one.sent + kPiece < one.length) {
+        SendAll(one.fd, std::string(kPiece, 'x'));
+        one.sent += kPiece;
+        one.next = Now() + kPieceInterval;
       }
-      SleepFor(round + kChunkInterval - Now());
     }
-    for (const int fd : open) {
-      if (fd >= 0) {
-        close(fd);
-      }
+    SleepFor(kLookInterval);
+  }
+  for (const One& one : all) {
+    if (one.fd >= 0) {
+      close(one.fd);
     }
   }
-  int begun() const { return begun_; }
+}
 
- private:
-  const InstanceOptions to_;
-  int begun_ = 0;
+// What the runner ran: the length of the body of each attempt.
+struct Runs {
+  std::mutex mutex;
+  std::map<std::string, std::vector<size_t>> bodies;
 };
 
-// What the ordinary clients and the platform's question have seen.
-struct Seen {
-  std::mutex mutex;
-  double last_answer = 0;
-  int tries = 0;
-  int answers = 0;
-  bool is_ready = false;
+struct Booking {
+  std::string id;
+  std::vector<int> statuses;  // Of all responses on the connection.
+  double at = 0;
 };
 
-void Ask(const InstanceOptions& to,
-         int number,
-         const std::atomic<bool>& over,
-         Seen* seen) {
-  for (int i = 0; !over; ++i) {
-    const double begun = Now();
-    const int fd = Connect(to.ip, to.front_port, CaseIp(30 + number));
-    Message answer;
-    if (fd >= 0) {
-      SendAll(fd,
-              Head("client" + std::to_string(number) + "-" + std::to_string(i),
-                   "Content-Length: 5") +
-                  "hello");
-      answer = Reader(fd).Read(false, 2);
-      close(fd);
+void Book(const InstanceOptions& to,
+          int number,
+          std::mutex* mutex,
+          std::vector<Booking>* bookings) {
+  SleepFor(kIdle * number / kClients);
+  int fd = -1;
+  std::unique_ptr<Reader> reader;
+  for (int i = 0; i < kBookings; ++i) {
+    if (fd < 0) {
+      // A new connection, first used for a booking and then kept.
+      fd = Connect(to.ip, to.front_port);
+      reader = std::make_unique<Reader>(fd);
+      SendAll(
+          fd,
+          Head("first" + std::to_string(number) + "-" + std::to_string(i), 5) +
+              "hello");
+      reader->Read(false, 6);
     }
-    {
-      const std::lock_guard<std::mutex> lock(seen->mutex);
-      ++seen->tries;
-      if (answer.status() == 200) {
-        ++seen->answers;
-        seen->last_answer = Now();
+    SleepFor(kIdle);
+    Booking booking;
+    booking.id = "b" + std::to_string(number) + "-" + std::to_string(i);
+    booking.at = Now();
+    SendAll(fd,
+            Head(booking.id, kBookingBody) + std::string(kBookingBody, 'b'));
+    Message answer = reader->Read(false, 6);
+    booking.statuses.push_back(answer.status());
+    if (answer.status() != 200) {
+      // Is there anything behind it?
+      answer = reader->Read(false, 1);
+      if (answer.status() != 0) {
+        booking.statuses.push_back(answer.status());
       }
+      close(fd);
+      fd = -1;
     }
-    SleepFor(begun + kTryInterval - Now());
+    const std::lock_guard<std::mutex> lock(*mutex);
+    bookings->push_back(booking);
   }
-}
-
-bool IsReady(const InstanceOptions& to) {
-  const int fd = Connect(to.ip, to.ready_port);
-  if (fd < 0) {
-    return false;
+  if (fd >= 0) {
+    close(fd);
   }
-  SendAll(fd, "GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n");
-  const Message answer = Reader(fd).Read(false, 1);
-  close(fd);
-  return answer.status() == 200;
-}
-
-std::string Text(double seconds) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.2f", seconds);
-  return text;
 }
 
 int Run(const std::string& program, const std::string& case_folder) {
@@ -206,10 +158,17 @@
   const std::string folder = TemporaryFolder();
   const std::string store_ip = CaseIp(0);
   Store store(store_ip);
-  Server runner(CaseIp(1), 0, [](int fd, const Message& request) {
-    return SendAll(fd, RunnerAnswer(request, 200, "", "answer"));
+  Runs runs;
+  Server runner(CaseIp(1), 0, [&runs](int fd, const Message& request) {
+    {
+      const std::lock_guard<std::mutex> lock(runs.mutex);
+      runs.bodies[request.Header("x-attempt-id")].push_back(
+          request.body.size());
+    }
+    SleepFor(0.03);
+    return SendAll(fd, RunnerAnswer(request, 200, "", "booked"));
   });
-  store.Put("op/config", ConfigJson(5, {{"read", "/read/", "safe", "desk"}},
+  store.Put("op/config", ConfigJson(5, {{"book", "/book/", "unsafe", "desk"}},
                                     {{"desk", 100, false}}));
   store.Put("servers/i-1",
             EntryJson("desk", CaseIp(1) + ":" + std::to_string(runner.port()),
@@ -233,86 +192,70 @@
     RemoveFolder(folder);
     Exit(2);
   }
-  record.Line("ready");
-  Seen seen;
-  seen.last_answer = Now();
   std::atomic<bool> over{false};
+  std::thread crowd;
+  if (trouble) {
+    crowd = std::thread([&] { Upload(options, over); });
+    record.Line("the crowd begins");
+    SleepFor(3);
+  }
+  std::mutex mutex;
+  std::vector<Booking> bookings;
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&, i] { Ask(options, i, over, &seen); });
+    clients.emplace_back([&, i] { Book(options, i, &mutex, &bookings); });
   }
-  double longest = 0;
-  std::atomic<bool> judged{false};
-  std::thread judge([&] {
-    double ready_since = Now();
-    int tries_before = 0;
-    int answers_before = 0;
-    double next_line = Now() + 1;
-    while (!judged) {
-      if (!IsReady(options)) {
-        ready_since = Now();
-      }
-      {
-        const std::lock_guard<std::mutex> lock(seen.mutex);
-        longest =
-            std::max(longest, Now() - std::max(ready_since, seen.last_answer));
-        if (Now() >= next_line) {
-          record.Line("ordinary clients: tries " +
-                      std::to_string(seen.tries - tries_before) +
-                      ", answered " +
-                      std::to_string(seen.answers - answers_before));
-          tries_before = seen.tries;
-          answers_before = seen.answers;
-          next_line += 1;
-        }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  over = true;
+  if (crowd.joinable()) {
+    crowd.join();
+  }
+  SleepFor(1);
+  int refused = 0;
+  int refused_and_run = 0;
+  int changed = 0;
+  int unasked_success = 0;
+  for (const Booking& one : bookings) {
+    std::string line = one.id + " sent at " + std::to_string(one.at) +
+                       " with a body of " + std::to_string(kBookingBody) +
+                       ": responses";
+    for (const int status : one.statuses) {
+      line += " " + std::to_string(status);
+    }
+    const std::lock_guard<std::mutex> lock(runs.mutex);
+    const auto run = runs.bodies.find(one.id);
+    line += run == runs.bodies.end() ? "; not run" : "; run with a body of";
+    if (run != runs.bodies.end()) {
+      for (const size_t size : run->second) {
+        line += " " + std::to_string(size);
+        changed += size != kBookingBody ? 1 : 0;
       }
-      SleepFor(0.1);
     }
-  });
-  SleepFor(2);
-  if (trouble) {
-    // FIRST_CROWD=0 leaves the first crowd out, to tell which one does it.
-    const char* first = std::getenv("FIRST_CROWD");
-    if (first == nullptr || std::string(first) != "0") {
-      std::atomic<bool> uploaded{false};
-      std::thread slow([&] { UploadSlowly(options, uploaded); });
-      SleepFor(1.5);
-      int begun = 0;
-      const int refusals = UploadLate(options, &begun);
-      uploaded = true;
-      slow.join();
-      record.Line("uploads on idle connections " + std::to_string(begun) +
-                  ", responses 503 to them " + std::to_string(refusals));
+    record.Line(line);
+    if (one.statuses.front() == 503) {
+      ++refused;
+      refused_and_run += run != runs.bodies.end() ? 1 : 0;
+      unasked_success +=
+          one.statuses.size() > 1 && one.statuses.back() == 200 ? 1 : 0;
     }
-    SleepFor(4);
-    record.Line("the second crowd begins");
-    Holders holders(options);
-    holders.Run(kHold);
-    record.Line("the second crowd has left, connections begun " +
-                std::to_string(holders.begun()));
-  } else {
-    SleepFor(kHold);
-  }
-  SleepFor(2);
-  judged = true;
-  judge.join();
-  over = true;
-  for (std::thread& client : clients) {
-    client.join();
   }
+  record.Line("bookings " + std::to_string(bookings.size()) +
+              ", refused with 503 " + std::to_string(refused));
+  record.Line("refused with 503 and run all the same: " +
+              std::to_string(refused_and_run));
+  record.Line("run with another body than the client's: " +
+              std::to_string(changed));
+  record.Line("a 200 after the 503, with no request waiting: " +
+              std::to_string(unasked_success));
   std::string how;
-  const bool ended = instance.Ended(&how);
-  record.Line("ordinary requests " + std::to_string(seen.tries) +
-              ", answered " + std::to_string(seen.answers));
-  record.Line("ready and no new connection served for at most " +
-              Text(longest) + " s, while " + std::to_string(kClients) +
-              " clients try");
-  if (ended) {
+  if (instance.Ended(&how)) {
     record.Line("the process ended by itself: " + how);
   }
   instance.Kill();
   RemoveFolder(folder);
-  Exit(ended || longest > kContact ? 1 : 0);
+  Exit(refused_and_run + changed + unasked_success > 0 ? 1 : 0);
 }
 
 }  // namespace
