--- a/review/stand_in_2/stand_in.cc
+++ b/review/stand_in_2/stand_in.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -592,6 +593,7 @@
   out.close();
   pid_ = fork();
   if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // It ends with the case.
     const int log = open(log_path().c_str(),
                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, 1);
