--- a/review/stand_in_2/case_8.cc
+++ b/review/stand_in_2/case_8.cc
@@ -1,4 +1,5 @@
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -28,11 +29,13 @@
 constexpr size_t kPiece = 12288;
 constexpr double kPieceInterval = 0.3;
 // Uploads on kept connections that were idle for a while.
-constexpr int kLateUploads = 400;
+constexpr int kLateUploads = 300;
 constexpr int kLateAtOnce = 50;
 constexpr double kIdle = 0.7;
 // The second crowd.
 constexpr int kHolders = 1900;
+// Descriptors that this program needs for anything else.
+constexpr int kOtherFds = 400;
 constexpr int kHolderAddresses = 8;
 constexpr double kChunkInterval = 1.0;
 constexpr double kHold = 14;
@@ -103,17 +106,29 @@
   return refusals;
 }
 
+// Fewer where this program may not open so many; the instance may then not
+// either.
+int CountHolders() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur == RLIM_INFINITY
+             ? kHolders
+             : std::min<int>(kHolders,
+                             static_cast<int>(limit.rlim_cur) - kOtherFds);
+}
+
 // The second crowd.
 class Holders {
  public:
   explicit Holders(InstanceOptions to) : to_(std::move(to)) {}
 
   void Run(double seconds) {
-    std::vector<int> open(kHolders, -1);
+    const int count = CountHolders();
+    std::vector<int> open(static_cast<size_t>(std::max(count, 0)), -1);
     const double until = Now() + seconds;
     while (Now() < until) {
       const double round = Now();
-      for (int i = 0; i < kHolders; ++i) {
+      for (int i = 0; i < count; ++i) {
         int& fd = open[static_cast<size_t>(i)];
         if (fd >= 0 && IsClosed(fd)) {
           close(fd);
