Case 8: a key that was taken away is in force again after a drill and a kill

Claim: an instance that is killed while the store comes back from an older copy takes the older config and runs requests with a key that was taken away over five seconds before, though the other instances know the newer one (CONFIG).

--- a/review/stand_in_2/case_8.cc
+++ b/review/stand_in_2/case_8.cc
@@ -1,218 +1,58 @@
-#include <poll.h>
-#include <sys/resource.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <atomic>
 #include <cstdlib>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "stand_in.h"
 
-// Clients that aren't under control send legal bodies piece by piece, in two
-// crowds. The first uploads bodies of the largest size, some of them on
-// connections that were idle before. The second holds many connections with
-// bodies in very small chunks that never end. Eight ordinary clients try all
-// the while.
+// A key is taken away. Then the store has a drill, and comes back from a copy
+// that still has the key; one instance is killed meanwhile and starts again.
+// The operator writes the config again two seconds after the store's return.
+// The other instances know all the while that the key is gone.
 
 namespace review {
 namespace {
 
-constexpr size_t kLargestBody = 4194304;  // The config's max_body_bytes.
-// Uploads that go on slowly; together they fill the memory for bodies.
-constexpr int kSlowUploads = 14;
-constexpr size_t kFirstPiece = 600000;
-constexpr size_t kPiece = 12288;
-constexpr double kPieceInterval = 0.3;
-// Uploads on kept connections that were idle for a while.
-constexpr int kLateUploads = 300;
-constexpr int kLateAtOnce = 50;
-constexpr double kIdle = 0.7;
-// The second crowd.
-constexpr int kHolders = 1900;
-// Descriptors that this program needs for anything else.
-constexpr int kOtherFds = 400;
-constexpr int kHolderAddresses = 8;
-constexpr double kChunkInterval = 1.0;
-constexpr double kHold = 14;
-// Ordinary clients, and how often each tries.
-constexpr int kClients = 8;
-constexpr double kTryInterval = 0.25;
-// contact_ms of the settings.
-constexpr double kContact = 3.0;
-
-std::string Head(const std::string& id, const std::string& framing) {
-  return "POST /read/x HTTP/1.1\r\nHost: case.example\r\nX-Attempt-Id: " + id +
-         "\r\nX-Deadline-Ms: 10000\r\nAuthorization: Token key-a\r\n" +
-         framing + "\r\n\r\n";
-}
-
-std::string LargeHead(const std::string& id) {
-  return Head(id, "Content-Length: " + std::to_string(kLargestBody));
-}
-
-bool IsClosed(int fd) {
-  char byte;
-  const ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
-// Uploads of the first crowd that go on all the while.
-void UploadSlowly(const InstanceOptions& to, const std::atomic<bool>& over) {
-  std::vector<int> open;
-  for (int i = 0; i < kSlowUploads; ++i) {
-    const int fd = Connect(to.ip, to.front_port);
-    SendAll(fd, LargeHead("slow" + std::to_string(i)) +
-                    std::string(kFirstPiece, 'x'));
-    open.push_back(fd);
-  }
-  while (!over) {
-    SleepFor(kPieceInterval);
-    for (const int fd : open) {
-      SendAll(fd, std::string(kPiece, 'x'));
-    }
-  }
-  for (const int fd : open) {
-    close(fd);
-  }
-}
-
-// Returns how many refusals the uploads got.
-int UploadLate(const InstanceOptions& to, int* begun) {
-  int refusals = 0;
-  for (int done = 0; done < kLateUploads; done += kLateAtOnce) {
-    std::vector<int> open;
-    for (int i = 0; i < kLateAtOnce; ++i) {
-      open.push_back(Connect(to.ip, to.front_port));
-    }
-    SleepFor(kIdle);
-    for (int i = 0; i < kLateAtOnce; ++i) {
-      SendAll(open[static_cast<size_t>(i)],
-              LargeHead("late" + std::to_string(done + i)));
-      ++*begun;
-    }
-    for (const int fd : open) {
-      Reader reader(fd);
-      while (reader.Read(false, 0.2).status() == 503) {
-        ++refusals;
-      }
-      close(fd);
-    }
-  }
-  return refusals;
-}
-
-// Fewer where this program may not open so many; the instance may then not
-// either.
-int CountHolders() {
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  return limit.rlim_cur == RLIM_INFINITY
-             ? kHolders
-             : std::min<int>(kHolders,
-                             static_cast<int>(limit.rlim_cur) - kOtherFds);
-}
-
-// The second crowd.
-class Holders {
- public:
-  explicit Holders(InstanceOptions to) : to_(std::move(to)) {}
-
-  void Run(double seconds) {
-    const int count = CountHolders();
-    std::vector<int> open(static_cast<size_t>(std::max(count, 0)), -1);
-    const double until = Now() + seconds;
-    while (Now() < until) {
-      const double round = Now();
-      for (int i = 0; i < count; ++i) {
-        int& fd = open[static_cast<size_t>(i)];
-        if (fd >= 0 && IsClosed(fd)) {
-          close(fd);
-          fd = -1;
-        }
-        if (fd < 0) {
-          fd = Connect(to_.ip, to_.front_port,
-                       CaseIp(10 + i % kHolderAddresses));
-          if (fd >= 0) {
-            SendAll(fd, Head("hold" + std::to_string(begun_++),
-                             "Transfer-Encoding: chunked"));
-          }
-        }
-        if (fd >= 0) {
-          SendAll(fd, "1\r\nx\r\n");
-        }
-      }
-      SleepFor(round + kChunkInterval - Now());
-    }
-    for (const int fd : open) {
-      if (fd >= 0) {
-        close(fd);
-      }
-    }
-  }
-  int begun() const { return begun_; }
-
- private:
-  const InstanceOptions to_;
-  int begun_ = 0;
-};
-
-// What the ordinary clients and the platform's question have seen.
-struct Seen {
+constexpr int kInstances = 3;
+constexpr double kRevoke = 5.0;  // revoke_ms of the settings.
+// After the acknowledgement of the config without the key:
+constexpr double kCopyAge = 2.0;  // The copy is that much older than it.
+constexpr double kAway = 3.0;
+constexpr double kRestart = 3.5;
+constexpr double kReturn = 4.0;
+constexpr double kWrittenAgain = 6.0;
+constexpr double kEnd = 9.0;
+constexpr double kAskInterval = 0.05;
+
+struct Runs {
   std::mutex mutex;
-  double last_answer = 0;
-  int tries = 0;
-  int answers = 0;
-  bool is_ready = false;
+  std::map<std::string, int> count;
 };
 
-void Ask(const InstanceOptions& to,
-         int number,
-         const std::atomic<bool>& over,
-         Seen* seen) {
-  for (int i = 0; !over; ++i) {
-    const double begun = Now();
-    const int fd = Connect(to.ip, to.front_port, CaseIp(30 + number));
-    Message answer;
-    if (fd >= 0) {
-      SendAll(fd,
-              Head("client" + std::to_string(number) + "-" + std::to_string(i),
-                   "Content-Length: 5") +
-                  "hello");
-      answer = Reader(fd).Read(false, 2);
-      close(fd);
-    }
-    {
-      const std::lock_guard<std::mutex> lock(seen->mutex);
-      ++seen->tries;
-      if (answer.status() == 200) {
-        ++seen->answers;
-        seen->last_answer = Now();
-      }
-    }
-    SleepFor(begun + kTryInterval - Now());
-  }
-}
+struct Asked {
+  std::string id;
+  double at = 0;  // After the acknowledgement.
+  int status = 0;
+};
 
-bool IsReady(const InstanceOptions& to) {
-  const int fd = Connect(to.ip, to.ready_port);
+int Ask(const InstanceOptions& to, const std::string& id, const char* key) {
+  const int fd = Connect(to.ip, to.front_port);
   if (fd < 0) {
-    return false;
+    return 0;
   }
-  SendAll(fd, "GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n");
-  const Message answer = Reader(fd).Read(false, 1);
+  SendAll(fd, "POST /book/x HTTP/1.1\r\nHost: case.example\r\nX-Attempt-Id: " +
+                  id + "\r\nX-Deadline-Ms: 1000\r\nAuthorization: Token " +
+                  key + "\r\nContent-Length: " + std::to_string(id.size()) +
+                  "\r\n\r\n" + id);
+  const Message answer = Reader(fd).Read(false, 2);
   close(fd);
-  return answer.status() == 200;
-}
-
-std::string Text(double seconds) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.2f", seconds);
-  return text;
+  return answer.status();
 }
 
 int Run(const std::string& program, const std::string& case_folder) {
@@ -220,114 +60,122 @@
   const bool trouble = TroubleWanted();
   const std::string folder = TemporaryFolder();
   const std::string store_ip = CaseIp(0);
+  Runs runs;
   Store store(store_ip);
-  Server runner(CaseIp(1), 0, [](int fd, const Message& request) {
-    return SendAll(fd, RunnerAnswer(request, 200, "", "answer"));
+  Server runner(CaseIp(1), 0, [&runs](int fd, const Message& request) {
+    {
+      const std::lock_guard<std::mutex> lock(runs.mutex);
+      ++runs.count[request.Header("x-attempt-id")];
+    }
+    return SendAll(fd, RunnerAnswer(request, 200, "", "booked"));
   });
-  store.Put("op/config", ConfigJson(5, {{"read", "/read/", "safe", "desk"}},
-                                    {{"desk", 100, false}}));
+  const std::vector<RouteSpec> routes = {{"book", "/book/", "unsafe", "desk"}};
+  const std::vector<ServiceSpec> services = {{"desk", 100, false}};
+  store.Put("op/config", ConfigJson(5, routes, services, {"key-a", "key-b"}));
   store.Put("servers/i-1",
             EntryJson("desk", CaseIp(1) + ":" + std::to_string(runner.port()),
                       16, "ready", UnixMs()));
+  std::vector<std::unique_ptr<Instance>> instances;
   InstanceOptions options;
   options.program = program;
   options.folder = folder;
-  options.ip = CaseIp(2);
-  options.name = "front-1";
-  options.front_port = FreePort(options.ip);
-  options.ready_port = FreePort(options.ip);
-  options.control_port = FreePort(options.ip);
+  options.front_port = FreePort(CaseIp(2));
+  options.ready_port = FreePort(CaseIp(2));
+  options.control_port = FreePort(CaseIp(2));
   options.internal_port = 17340;
-  options.seed_ip = options.ip;
+  options.seed_ip = CaseIp(2);
   options.store = store_ip + ":" + std::to_string(store.port());
-  Instance instance(options);
-  instance.Start();
-  if (!instance.AwaitReady(15)) {
-    record.Line("the instance isn't ready");
-    instance.Kill();
-    RemoveFolder(folder);
-    Exit(2);
+  for (int i = 0; i < kInstances; ++i) {
+    options.ip = CaseIp(2 + i);
+    options.name = "front-" + std::to_string(i + 1);
+    instances.push_back(std::make_unique<Instance>(options));
+    instances.back()->Start();
   }
-  record.Line("ready");
-  Seen seen;
-  seen.last_answer = Now();
+  for (const auto& instance : instances) {
+    if (!instance->AwaitReady(15)) {
+      record.Line("an instance isn't ready");
+      for (const auto& one : instances) {
+        one->Kill();
+      }
+      RemoveFolder(folder);
+      Exit(2);
+    }
+  }
+  SleepFor(4);
+  store.TakeCopy();
+  SleepFor(kCopyAge);
+  store.Put("op/config", ConfigJson(9, routes, services, {"key-a"}));
+  const double revoked = Now();
+  record.Line("version 9, without key-b, is acknowledged");
   std::atomic<bool> over{false};
+  std::mutex mutex;
+  std::vector<Asked> asked;
   std::vector<std::thread> clients;
-  for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&, i] { Ask(options, i, over, &seen); });
-  }
-  double longest = 0;
-  std::atomic<bool> judged{false};
-  std::thread judge([&] {
-    double ready_since = Now();
-    int tries_before = 0;
-    int answers_before = 0;
-    double next_line = Now() + 1;
-    while (!judged) {
-      if (!IsReady(options)) {
-        ready_since = Now();
-      }
-      {
-        const std::lock_guard<std::mutex> lock(seen.mutex);
-        longest =
-            std::max(longest, Now() - std::max(ready_since, seen.last_answer));
-        if (Now() >= next_line) {
-          record.Line("ordinary clients: tries " +
-                      std::to_string(seen.tries - tries_before) +
-                      ", answered " +
-                      std::to_string(seen.answers - answers_before));
-          tries_before = seen.tries;
-          answers_before = seen.answers;
-          next_line += 1;
+  for (int i = 0; i < kInstances; ++i) {
+    clients.emplace_back([&, i] {
+      for (int n = 0; !over; ++n) {
+        Asked one;
+        one.id = "front-" + std::to_string(i + 1) + "-" + std::to_string(n);
+        one.at = Now() - revoked;
+        one.status =
+            Ask(instances[static_cast<size_t>(i)]->options(), one.id, "key-b");
+        {
+          const std::lock_guard<std::mutex> lock(mutex);
+          asked.push_back(one);
         }
+        SleepFor(kAskInterval);
       }
-      SleepFor(0.1);
-    }
-  });
-  SleepFor(2);
+    });
+  }
+  const auto until = [&](double after) { SleepFor(revoked + after - Now()); };
+  // KILL=0 leaves the kill out.
+  const char* kill_wanted = std::getenv("KILL");
+  const bool kills = kill_wanted == nullptr || std::string(kill_wanted) != "0";
   if (trouble) {
-    // FIRST_CROWD=0 leaves the first crowd out, to tell which one does it.
-    const char* first = std::getenv("FIRST_CROWD");
-    if (first == nullptr || std::string(first) != "0") {
-      std::atomic<bool> uploaded{false};
-      std::thread slow([&] { UploadSlowly(options, uploaded); });
-      SleepFor(1.5);
-      int begun = 0;
-      const int refusals = UploadLate(options, &begun);
-      uploaded = true;
-      slow.join();
-      record.Line("uploads on idle connections " + std::to_string(begun) +
-                  ", responses 503 to them " + std::to_string(refusals));
+    until(kAway);
+    store.GoAway();
+    record.Line("the store is away");
+    if (kills) {
+      instances.back()->Kill();
+      record.Line("front-3 is killed");
+      until(kRestart);
+      instances.back()->Restart();
+      record.Line("front-3 starts again");
     }
-    SleepFor(4);
-    record.Line("the second crowd begins");
-    Holders holders(options);
-    holders.Run(kHold);
-    record.Line("the second crowd has left, connections begun " +
-                std::to_string(holders.begun()));
-  } else {
-    SleepFor(kHold);
+    until(kReturn);
+    store.ReturnFromCopy();
+    record.Line("the store is back, from a copy with version 5");
+    until(kWrittenAgain);
+    store.Put("op/config", ConfigJson(9, routes, services, {"key-a"}));
+    record.Line("version 9 is written again");
   }
-  SleepFor(2);
-  judged = true;
-  judge.join();
+  until(kEnd);
   over = true;
   for (std::thread& client : clients) {
     client.join();
   }
-  std::string how;
-  const bool ended = instance.Ended(&how);
-  record.Line("ordinary requests " + std::to_string(seen.tries) +
-              ", answered " + std::to_string(seen.answers));
-  record.Line("ready and no new connection served for at most " +
-              Text(longest) + " s, while " + std::to_string(kClients) +
-              " clients try");
-  if (ended) {
-    record.Line("the process ended by itself: " + how);
+  int late = 0;
+  int broken = 0;
+  for (const Asked& one : asked) {
+    if (one.at <= kRevoke) {
+      continue;
+    }
+    ++late;
+    const std::lock_guard<std::mutex> lock(runs.mutex);
+    if (runs.count.count(one.id) > 0) {
+      ++broken;
+      record.Line(one.id + " sent " + std::to_string(one.at) +
+                  " s after the acknowledgement, with key-b: answered " +
+                  std::to_string(one.status) + ", run");
+    }
+  }
+  record.Line("requests with key-b sent over 5 s after the acknowledgement: " +
+              std::to_string(late) + ", run: " + std::to_string(broken));
+  for (const auto& one : instances) {
+    one->Kill();
   }
-  instance.Kill();
   RemoveFolder(folder);
-  Exit(ended || longest > kContact ? 1 : 0);
+  Exit(broken > 0 ? 1 : 0);
 }
 
 }  // namespace
--- a/review/stand_in_2/stand_in.cc
+++ b/review/stand_in_2/stand_in.cc
@@ -92,10 +92,10 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-std::string Json(int status, const std::string& body) {
+std::string Json(int status, uint64_t era, const std::string& body) {
   std::ostringstream out;
   out << "HTTP/1.1 " << status << (status == 200 ? " OK" : " Error")
-      << "\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+      << "\r\nContent-Type: application/json\r\nStore-Era: " << era << "\r\n"
       << "Content-Length: " << body.size() << "\r\n\r\n"
       << body;
   return out.str();
@@ -406,6 +406,28 @@
   }
 }
 
+void Store::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copied_revision_ = revision_;
+  copied_items_ = items_;
+  copied_events_ = events_;
+}
+
+void Store::GoAway() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  is_away_ = true;
+  changed_.notify_all();
+}
+
+void Store::ReturnFromCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  revision_ = copied_revision_;
+  items_ = copied_items_;
+  events_ = copied_events_;
+  ++era_;
+  is_away_ = false;
+}
+
 std::string Store::ItemJson(const std::string& key, const Item& item) const {
   std::ostringstream out;
   out << "{\"key\":\"" << key << "\",\"value\":\"" << Base64(item.value)
@@ -418,6 +440,10 @@
   const std::string& path = request.start[1];
   auto query = Query(path);
   std::unique_lock<std::mutex> lock(mutex_);
+  if (is_away_) {
+    return SendAll(fd, Json(503, era_, "{}"));
+  }
+  const uint64_t era = era_;
   std::ostringstream out;
   if (StartsWith(path, "/kv-range")) {
     bool first = true;
@@ -434,12 +460,19 @@
     const uint64_t after = std::strtoull(query["after"].c_str(), nullptr, 10);
     const int wait_ms = std::atoi(query["wait_ms"].c_str());
     const std::string prefix = query["prefix"];
+    if (after > revision_) {
+      return SendAll(fd, Json(410, era, "{}"));
+    }
     const auto has_news = [&] {
-      return std::any_of(events_.begin(), events_.end(), [&](const Event& it) {
-        return it.revision > after && StartsWith(it.key, prefix);
-      });
+      return is_away_ ||
+             std::any_of(events_.begin(), events_.end(), [&](const Event& it) {
+               return it.revision > after && StartsWith(it.key, prefix);
+             });
     };
     changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), has_news);
+    if (is_away_ || era_ != era) {
+      return false;  // A watch that is waiting may be cut.
+    }
     std::map<std::string, Event> newest;
     for (const Event& event : events_) {
       if (event.revision > after && StartsWith(event.key, prefix)) {
@@ -460,15 +493,16 @@
     }
     out << "],\"store_revision\":" << revision_ << "}";
   } else {
-    return SendAll(fd, Json(404, "{}"));
+    return SendAll(fd, Json(404, era, "{}"));
   }
   lock.unlock();
-  return SendAll(fd, Json(200, out.str()));
+  return SendAll(fd, Json(200, era, out.str()));
 }
 
 std::string ConfigJson(int version,
                        const std::vector<RouteSpec>& routes,
-                       const std::vector<ServiceSpec>& services) {
+                       const std::vector<ServiceSpec>& services,
+                       const std::vector<std::string>& keys) {
   std::ostringstream out;
   out << "{\"version\":" << version << ",\"routes\":[";
   bool first = true;
@@ -509,8 +543,13 @@
   }
   out << "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
          "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-         "\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[\"key-a\"],"
-         "\"priority\":1}]}";
+         "\"tenants\":[{\"name\":\"tenant-a\",\"api_keys\":[";
+  first = true;
+  for (const std::string& key : keys) {
+    out << (first ? "" : ",") << "\"" << key << "\"";
+    first = false;
+  }
+  out << "],\"priority\":1}]}";
   return out.str();
 }
 
@@ -576,7 +615,8 @@
       << "\"\n  control: \"" << o.ip << ":" << o.control_port
       << "\"\ninternal_ports:\n  - " << o.internal_port << "\n  - "
       << o.internal_port + 15 << "\nseeds:\n  - \"" << o.seed_ip << ":"
-      << o.control_port << "\"\nbootstrap: true\ncounts_as_loss: false\n"
+      << o.control_port << "\"\nbootstrap: " << (o.bootstrap ? "true" : "false")
+      << "\ncounts_as_loss: false\n"
       << "limits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: " << o.memory_mb
       << "\n  max_fds: " << o.max_fds << "\n  link_mbps: 1000.0\n  disk_mb: 0\n"
       << "data_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\n"
@@ -605,6 +645,12 @@
   }
 }
 
+void Instance::Restart() {
+  ended_ = false;
+  options_.bootstrap = false;
+  Start();
+}
+
 void Instance::Signal(int signal) {
   kill(pid_, signal);
 }
--- a/review/stand_in_2/stand_in.h
+++ b/review/stand_in_2/stand_in.h
@@ -116,6 +116,13 @@
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
 
+  // -- A drill: the store is away, and comes back from a copy.
+
+  void TakeCopy();
+  // Answers 503 from now on; watches that wait are cut.
+  void GoAway();
+  void ReturnFromCopy();
+
  private:
   struct Item {
     std::string value;
@@ -135,6 +142,11 @@
   uint64_t revision_ = 10;
   std::map<std::string, Item> items_;
   std::vector<Event> events_;
+  uint64_t era_ = 1;
+  bool is_away_ = false;
+  uint64_t copied_revision_ = 0;
+  std::map<std::string, Item> copied_items_;
+  std::vector<Event> copied_events_;
   std::unique_ptr<Server> server_;
 };
 
@@ -156,7 +168,8 @@
 };
 std::string ConfigJson(int version,
                        const std::vector<RouteSpec>& routes,
-                       const std::vector<ServiceSpec>& services);
+                       const std::vector<ServiceSpec>& services,
+                       const std::vector<std::string>& keys = {"key-a"});
 std::string EntryJson(const std::string& service,
                       const std::string& address,
                       int slots,
@@ -185,6 +198,7 @@
   int memory_mb = 260;
   int max_fds = 4100;
   int grace_s = 8;
+  bool bootstrap = true;
 };
 class Instance {
  public:
@@ -193,6 +207,8 @@
   Instance(const Instance&) = delete;
   Instance& operator=(const Instance&) = delete;
   void Start();
+  // Starts again after it has ended, not as the first start of the fleet.
+  void Restart();
   void Signal(int signal);
   // Ends the process if it still runs.
   void Kill();
