--- a/review/stand_in_2/case_6.cc
+++ b/review/stand_in_2/case_6.cc
@@ -53,7 +53,9 @@
 }
 
 // The crowd. Uploads that are refused or closed begin anew.
-void Upload(const InstanceOptions& to, const std::atomic<bool>& over) {
+void Upload(const InstanceOptions& to,
+            const std::atomic<bool>& over,
+            Record* record) {
   struct One {
     size_t length = 0;
     int fd = -1;
@@ -95,6 +97,7 @@
       close(one.fd);
     }
   }
+  record->Line("the crowd has left, uploads begun " + std::to_string(number));
 }
 
 // What the runner ran: the length of the body of each attempt.
@@ -195,7 +198,7 @@
   std::atomic<bool> over{false};
   std::thread crowd;
   if (trouble) {
-    crowd = std::thread([&] { Upload(options, over); });
+    crowd = std::thread([&] { Upload(options, over, &record); });
     record.Line("the crowd begins");
     SleepFor(3);
   }
