--- a/review/stand_in_2/case_9.cc
+++ b/review/stand_in_2/case_9.cc
@@ -61,6 +61,12 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+std::string Text(double seconds) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", seconds);
+  return text;
+}
+
 // Uploads of the first crowd that go on all the while.
 void UploadSlowly(const InstanceOptions& to, const std::atomic<bool>& over) {
   std::vector<int> open;
@@ -82,7 +88,7 @@
 }
 
 // Returns how many refusals the uploads got.
-int UploadLate(const InstanceOptions& to, int* begun) {
+int UploadLate(const InstanceOptions& to, Record* record, int* begun) {
   int refusals = 0;
   for (int done = 0; done < kLateUploads; done += kLateAtOnce) {
     std::vector<int> open;
@@ -95,12 +101,17 @@
               LargeHead("late" + std::to_string(done + i)));
       ++*begun;
     }
-    for (const int fd : open) {
+    for (int i = 0; i < kLateAtOnce; ++i) {
+      const int fd = open[static_cast<size_t>(i)];
       Reader reader(fd);
+      int got = 0;
       while (reader.Read(false, 0.2).status() == 503) {
-        ++refusals;
+        ++got;
       }
       close(fd);
+      refusals += got;
+      record->Line("late" + std::to_string(done + i) +
+                   ": responses 503 to it: " + std::to_string(got));
     }
   }
   return refusals;
@@ -173,6 +184,7 @@
 void Ask(const InstanceOptions& to,
          int number,
          const std::atomic<bool>& over,
+         Record* record,
          Seen* seen) {
   for (int i = 0; !over; ++i) {
     const double begun = Now();
@@ -186,6 +198,9 @@
       answer = Reader(fd).Read(false, 2);
       close(fd);
     }
+    record->Line("client" + std::to_string(number) + "-" + std::to_string(i) +
+                 " sent " + Text(begun) + ": answered " +
+                 std::to_string(answer.status()));
     {
       const std::lock_guard<std::mutex> lock(seen->mutex);
       ++seen->tries;
@@ -209,12 +224,6 @@
   return answer.status() == 200;
 }
 
-std::string Text(double seconds) {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.2f", seconds);
-  return text;
-}
-
 int Run(const std::string& program, const std::string& case_folder) {
   Record record(case_folder + "/record.txt");
   const bool trouble = TroubleWanted();
@@ -254,7 +263,7 @@
   std::atomic<bool> over{false};
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&, i] { Ask(options, i, over, &seen); });
+    clients.emplace_back([&, i] { Ask(options, i, over, &record, &seen); });
   }
   double longest = 0;
   std::atomic<bool> judged{false};
@@ -293,7 +302,7 @@
       std::thread slow([&] { UploadSlowly(options, uploaded); });
       SleepFor(1.5);
       int begun = 0;
-      const int refusals = UploadLate(options, &begun);
+      const int refusals = UploadLate(options, &record, &begun);
       uploaded = true;
       slow.join();
       record.Line("uploads on idle connections " + std::to_string(begun) +
