A restored store's older configuration doesn't bring a key back

Cause: an instance without memory takes what the store serves for the present. Peers told it how fresh its reading was (PeerTrailer has revision and era) and so confirmed the old configuration; none told which version it holds. FleetView::Apply compares with the instance's own version alone.

Ruled out: the age of the view (it was confirmed, by the store and by peers); the store's history (the drill without the kill runs nothing with that key); taking a peer's configuration over instead: datagrams aren't authenticated, so a forged one could admit keys, and a very high version would lock the operator out.

Gossip carries the latest configuration that an instance is known to hold: version, holder, the store's era and revision as the holder read it, age. dispatch/config_agreement decides: - A claim contradicts the store if its version is later than the own one while its holder's reading isn't ahead of the own reading; a configuration that is on its way is no contradiction. - The holder is asked for the digests of its routes and keys, 128 a message. A request is admitted if the own configuration allows it and both its route and its key are among them; anything else gets 503, never 401 or 404. - A restarted instance admits nothing until a settled instance was heard and contradictions are answered, at most 1.5 s after the store was read. So does a running one that sees a new era after a second without word from others. - If no instance remembers and the store was seen away, it waits up to 2.5 s for the operator to write again. - Claims count for two minutes after a start or a new era, so that a forged one, or an operator who goes on with an older version, ends by itself. Claims can only restrict; they never admit anything. Log: config_standing, config_older_in_store; gauges config_unsettled and config_behind; refusals config_unsettled and config_behind. New fields stand at the end of PeerMessage; its version stays 8. Older builds state nothing and don't count as instances that know.

--- a/packages/dispatch/include/umbertrail/dispatch/admission.h
+++ b/packages/dispatch/include/umbertrail/dispatch/admission.h
@@ -6,6 +6,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "umbertrail/dispatch/config_agreement.h"
 #include "umbertrail/dispatch/fleet_view.h"
 
 // Admission control by route, API key and the age of the view of both.
@@ -22,6 +23,11 @@
   // The route or key is unknown here, but may have been added since the last
   // confirmation.
   kConfigUnconfirmed,
+  // It isn't known yet whether other instances hold a later configuration.
+  kConfigUnsettled,
+  // Another instance holds a later configuration, which the store lacks; the
+  // route or key isn't known to be in it.
+  kConfigBehind,
   kNoTarget,
   kOverloaded,
   kTimeUsedUp,
@@ -54,14 +60,17 @@
   // A revoked key may be accepted no longer than this after the store recorded
   // the revocation.
   absl::Duration max_revocation_delay = absl::Seconds(5);
-  // If false, keys are accepted regardless of the configuration's age.
+  // If false, keys are accepted regardless of the configuration's age, and of
+  // later ones that other instances hold.
   bool strict_revocation = true;
   // Beyond this age, a view can't prove that a route or key doesn't exist.
   absl::Duration max_denial_age = absl::Seconds(4);
 };
 
-// Checks one request against the view at `now`.
+// Checks one request against the view at `now`, as far as its configuration can
+// be relied on.
 std::variant<Admitted, Refusal> Admit(const FleetView& view,
+                                      const ConfigTrust& trust,
                                       const AdmissionRequest& request,
                                       const AdmissionBounds& bounds,
                                       absl::Time now);
--- a/packages/dispatch/include/umbertrail/dispatch/freshness.h
+++ b/packages/dispatch/include/umbertrail/dispatch/freshness.h
@@ -10,6 +10,16 @@
 
 namespace umbertrail::dispatch {
 
+// The latest known position in the store's history. Revisions of different eras
+// aren't comparable.
+struct KnownStore {
+  uint64_t era = 0;
+  uint64_t revision = 0;
+};
+
+// True if `read` is later in the store's history than `known`.
+bool IsAhead(const KnownStore& read, const KnownStore& known);
+
 // A peer's report of its last store read, relative to the moment at which it
 // received a message of ours.
 struct StoreReadReport {
@@ -21,8 +31,7 @@
   // Time from the peer's receipt of that message to the moment as of which its
   // read holds; mostly negative.
   absl::Duration read_after_receipt;
-  // The store's revision and era at that read; revisions of different eras
-  // aren't comparable.
+  // The store's revision and era at that read.
   uint64_t revision = 0;
   uint64_t era = 0;
 };
@@ -31,12 +40,6 @@
 // time to arrive, the true time is never earlier.
 absl::Time LocalReadTime(const StoreReadReport& report);
 
-// The latest known position in the store's history.
-struct KnownStore {
-  uint64_t era = 0;
-  uint64_t revision = 0;
-};
-
 // True if `known` includes everything that the peer read.
 bool Confirms(const StoreReadReport& report, const KnownStore& known);
 
--- a/packages/dispatch/src/admission.cc
+++ b/packages/dispatch/src/admission.cc
@@ -12,6 +12,28 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+// True if the configuration's entries that admit the request, or that would
+// deny it, can be relied on.
+bool ReliesOnConfirmed(const FleetView& view,
+                       const ConfigTrust& trust,
+                       const AdmissionRequest& request) {
+  if (trust.extent() == ConfigTrust::Extent::kAll) {
+    return true;
+  }
+  const Route* route = view.routes().Find(request.host, request.path);
+  if (route == nullptr || !trust.Includes(EntryOf(*route))) {
+    return false;
+  }
+  const auto& accounts = view.config().accounts_by_key;
+  if (route->is_public || !accounts) {
+    return true;
+  }
+  const auto account =
+      request.key ? accounts->find(*request.key) : accounts->end();
+  return account != accounts->end() &&
+         trust.Includes(EntryOf(account->first, account->second));
+}
+
 }  // namespace
 
 int StatusOf(Refusal refusal, bool may_have_run) {
@@ -29,6 +51,8 @@
     case Refusal::kNoConfig:
     case Refusal::kKeysUnconfirmed:
     case Refusal::kConfigUnconfirmed:
+    case Refusal::kConfigUnsettled:
+    case Refusal::kConfigBehind:
     case Refusal::kNoTarget:
     case Refusal::kOverloaded:
     case Refusal::kPoison:
@@ -50,6 +74,10 @@
       return "keys_unconfirmed";
     case Refusal::kConfigUnconfirmed:
       return "config_unconfirmed";
+    case Refusal::kConfigUnsettled:
+      return "config_unsettled";
+    case Refusal::kConfigBehind:
+      return "config_behind";
     case Refusal::kNoTarget:
       return "no_target";
     case Refusal::kOverloaded:
@@ -69,12 +97,18 @@
 }
 
 std::variant<Admitted, Refusal> Admit(const FleetView& view,
+                                      const ConfigTrust& trust,
                                       const AdmissionRequest& request,
                                       const AdmissionBounds& bounds,
                                       absl::Time now) {
   if (!view.has_config()) {
     return Refusal::kNoConfig;
   }
+  if (bounds.strict_revocation && !ReliesOnConfirmed(view, trust, request)) {
+    return trust.extent() == ConfigTrust::Extent::kNone
+               ? Refusal::kConfigUnsettled
+               : Refusal::kConfigBehind;
+  }
   const absl::Duration age = now - view.config_confirmed_at();
   const bool may_deny = age <= bounds.max_denial_age;
   const Route* route = view.routes().Find(request.host, request.path);
--- a/packages/dispatch/src/freshness.cc
+++ b/packages/dispatch/src/freshness.cc
@@ -30,9 +30,13 @@
          report.revision <= known.revision;
 }
 
+bool IsAhead(const KnownStore& read, const KnownStore& known) {
+  return read.era > known.era ||
+         (read.era == known.era && read.revision > known.revision);
+}
+
 bool IsAhead(const StoreReadReport& report, const KnownStore& known) {
-  return report.era > known.era ||
-         (report.era == known.era && report.revision > known.revision);
+  return IsAhead(KnownStore{report.era, report.revision}, known);
 }
 
 bool IsValidReport(const StoreReadReport& report,
--- a/packages/front/include/umbertrail/front/metrics.h
+++ b/packages/front/include/umbertrail/front/metrics.h
@@ -15,6 +15,9 @@
 struct Gauges {
   double config_version = 0;
   absl::Duration config_age;
+  // See dispatch::ConfigAgreement::Standing.
+  bool config_unsettled = false;
+  bool config_behind = false;
   double targets = 0;
   double open_requests = 0;
   double connections = 0;
--- a/packages/front/include/umbertrail/front/peer_link.h
+++ b/packages/front/include/umbertrail/front/peer_link.h
@@ -16,6 +16,7 @@
 
 namespace umbertrail::front {
 
+class ConfigExchange;
 struct PeerMessage;
 struct PeerTrailer;
 
@@ -28,6 +29,7 @@
  public:
   // `on_peer_ahead` runs when a peer has read a newer revision of the store.
   PeerLink(State& state, std::function<void()> on_peer_ahead);
+  ~PeerLink();
 
   // Returns the error if the port can't be bound; it may be tried again.
   boost::system::error_code Start();
@@ -35,6 +37,9 @@
   void Stop();
   // Schedules one load report that batches the changes made until it is sent.
   void ScheduleFlush();
+  // Compares the configuration in force with what other instances have stated,
+  // and asks one that holds a later configuration for its entries.
+  void CheckConfig();
   // Tells others at once which crashes are known.
   void PublishCrashes();
   // Tells others, above all the target's homes, that its limit changed.
@@ -81,7 +86,9 @@
                        absl::Time now);
   void ApplyTargetEvents(const PeerMessage& message, absl::Time now);
   void ApplyCrashes(const PeerMessage& message, absl::Time now);
-  void ForwardCrashes();
+  // Gossips what has just become known, after a delay that batches it.
+  void ScheduleForward();
+  void Forward();
   // Confirms the local view by the peer's last reading of the store.
   void ApplyStoreReading(const PeerTrailer& trailer);
   void Reply(const PeerMessage& message, const InstanceId& from);
@@ -108,10 +115,12 @@
 
   State& state_;
   std::function<void()> on_peer_ahead_;
+  std::unique_ptr<ConfigExchange> config_exchange_;
   boost::asio::ip::udp::socket socket_;
   net::Timer heartbeat_;
   net::Timer flush_;
   net::Timer forward_;
+  net::Timer ask_;
   bool serves_others_ = true;
   bool flush_armed_ = false;
   bool forward_armed_ = false;
--- a/packages/front/include/umbertrail/front/state.h
+++ b/packages/front/include/umbertrail/front/state.h
@@ -14,6 +14,7 @@
 #include "platform/node_settings.h"
 #include "umbertrail/dispatch/block_trials.h"
 #include "umbertrail/dispatch/budgets.h"
+#include "umbertrail/dispatch/config_agreement.h"
 #include "umbertrail/dispatch/crash_detector.h"
 #include "umbertrail/dispatch/crash_evidence.h"
 #include "umbertrail/dispatch/features.h"
@@ -193,6 +194,7 @@
   int live_instances = 1;
   // The view includes all changes of the store up to this revision.
   dispatch::KnownStore known_store;
+  dispatch::ConfigAgreement config_agreement;
   // Set once all parts of the instance are constructed.
   std::shared_ptr<Placer> placer;
   // An instance that reaches targets and can serve requests for this one; none
--- a/packages/front/include/umbertrail/front/store_reader.h
+++ b/packages/front/include/umbertrail/front/store_reader.h
@@ -54,7 +54,13 @@
   // Retries after a backoff.
   void Fail(absl::string_view why, int status);
   void MarkAvailable(absl::Time now);
+  // Records what the view holds after a response. `was_away` if the store may
+  // have been away just before.
+  void RecordOwnConfig(bool was_away, absl::Time now);
   void LogFaults(const std::vector<std::string>& faults);
+  // Logs that the store holds an older configuration than the one in force,
+  // which therefore stays.
+  void LogOlderConfig(const dispatch::Revised& change, absl::Time now);
   bool ApplyChanges(const std::vector<dispatch::Revised>& changes,
                     absl::Time now);
   void LogChange(const dispatch::Revised& change, absl::Time now);
--- a/packages/front/src/front.cc
+++ b/packages/front/src/front.cc
@@ -303,6 +303,11 @@
   gauges.connection_bytes = used(net::MemoryUse::kConnections);
   gauges.body_bytes = used(net::MemoryUse::kBodies);
   gauges.response_bytes = used(net::MemoryUse::kResponses);
+  const auto standing = state_.config_agreement.StandingAt(BootNow());
+  gauges.config_unsettled =
+      standing == dispatch::ConfigAgreement::Standing::kUnsettled;
+  gauges.config_behind =
+      standing == dispatch::ConfigAgreement::Standing::kBehind;
   gauges.ready = IsReady();
   net::ResponseHead head;
   head.status = 200;
@@ -315,11 +320,17 @@
   if (stopping_ || !state_.view.has_config() || state_.view.targets().empty()) {
     return false;
   }
-  return !state_.settings.strict_revocation ||
-         BootNow() - state_.view.config_confirmed_at() < kReadyAge;
+  if (!state_.settings.strict_revocation) {
+    return true;
+  }
+  const absl::Time now = BootNow();
+  return now - state_.view.config_confirmed_at() < kReadyAge &&
+         state_.config_agreement.StandingAt(now) !=
+             dispatch::ConfigAgreement::Standing::kUnsettled;
 }
 
 void Front::OnViewChange() {
+  peers_->CheckConfig();
   if (state_.view.has_config()) {
     ApplyClientLimits(state_.view.config().limits);
   }
--- a/packages/front/src/metrics.cc
+++ b/packages/front/src/metrics.cc
@@ -211,6 +211,8 @@
   const std::pair<const char*, double> readings[] = {
       {"config_version", gauges.config_version},
       {"config_age", absl::ToDoubleSeconds(gauges.config_age)},
+      {"config_unsettled", gauges.config_unsettled ? 1.0 : 0.0},
+      {"config_behind", gauges.config_behind ? 1.0 : 0.0},
       {"targets", gauges.targets},
       {"open_requests", gauges.open_requests},
       {"connections", gauges.connections},
--- a/packages/front/src/peer_codec.cc
+++ b/packages/front/src/peer_codec.cc
@@ -252,6 +252,59 @@
   return limit;
 }
 
+std::optional<PeerConfigClaim> ToWire(const dispatch::ConfigClaim& claim,
+                                      absl::Time now) {
+  boost::system::error_code error;
+  const auto holder =
+      boost::asio::ip::make_address_v4(claim.holder.text(), error);
+  if (error) {
+    return std::nullopt;
+  }
+  PeerConfigClaim wire;
+  wire.version = claim.version;
+  wire.holder = holder.to_uint();
+  wire.era = claim.store.era;
+  wire.revision = claim.store.revision;
+  wire.age_ms = ToMillis(now - claim.stated_at);
+  return wire;
+}
+
+std::optional<dispatch::ConfigClaim> FromWire(const PeerConfigClaim& wire,
+                                              absl::Time now) {
+  if (wire.version == 0) {
+    return std::nullopt;
+  }
+  dispatch::ConfigClaim claim;
+  claim.version = wire.version;
+  claim.holder =
+      InstanceId(boost::asio::ip::address_v4(wire.holder).to_string());
+  claim.store = {wire.era, wire.revision};
+  claim.stated_at = now - absl::Milliseconds(wire.age_ms);
+  return claim;
+}
+
+PeerConfigEntries ToWire(const dispatch::ConfigEntriesPage& page) {
+  PeerConfigEntries wire;
+  wire.version = page.version;
+  wire.from = page.from.value();
+  for (const dispatch::ConfigEntry entry : page.entries) {
+    wire.entries.push_back(entry.value());
+  }
+  wire.is_last = page.is_last;
+  return wire;
+}
+
+dispatch::ConfigEntriesPage FromWire(const PeerConfigEntries& wire) {
+  dispatch::ConfigEntriesPage page;
+  page.version = wire.version;
+  page.from = dispatch::ConfigEntry(wire.from);
+  for (const uint64_t entry : wire.entries) {
+    page.entries.emplace_back(entry);
+  }
+  page.is_last = wire.is_last;
+  return page;
+}
+
 PeerPlacementRequest ToWire(uint64_t id, const PlacementRequest& request) {
   PeerPlacementRequest wire;
   wire.id = id;
--- a/packages/front/src/peer_codec.h
+++ b/packages/front/src/peer_codec.h
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 #include "peer_message.h"
+#include "umbertrail/dispatch/config_agreement.h"
 #include "umbertrail/dispatch/fleet_size.h"
 #include "umbertrail/dispatch/load_board.h"
 #include "umbertrail/dispatch/members.h"
@@ -48,6 +49,15 @@
 std::optional<dispatch::TargetLimit> FromWire(const PeerLimit& wire,
                                               absl::Time now);
 
+// None if its holder's id is not an IPv4 address.
+std::optional<PeerConfigClaim> ToWire(const dispatch::ConfigClaim& claim,
+                                      absl::Time now);
+// None if no claim is stated.
+std::optional<dispatch::ConfigClaim> FromWire(const PeerConfigClaim& wire,
+                                              absl::Time now);
+PeerConfigEntries ToWire(const dispatch::ConfigEntriesPage& page);
+dispatch::ConfigEntriesPage FromWire(const PeerConfigEntries& wire);
+
 PeerPlacementRequest ToWire(uint64_t id, const PlacementRequest& request);
 // `from` is the data centre of the sender.
 PlacementRequest FromWire(const PeerPlacementRequest& wire,
--- a/packages/front/src/peer_link.cc
+++ b/packages/front/src/peer_link.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "config_exchange.h"
 #include "peer_codec.h"
 #include "peer_message.h"
 #include "peer_output.h"
@@ -27,7 +28,7 @@
 constexpr absl::Duration kDisseminationTime = absl::Seconds(3);
 // An instance that serves requests for others was heard within this time.
 constexpr absl::Duration kStandInHeard = absl::Milliseconds(1500);
-// Crashes that arrive within this time are forwarded together.
+// News that arrive within this time are forwarded together.
 constexpr absl::Duration kForwardDelay = absl::Milliseconds(100);
 // Maximum number of tracked senders.
 constexpr size_t kMaxPeers = dispatch::FleetSize::kMaxInstances;
@@ -41,10 +42,12 @@
 PeerLink::PeerLink(State& state, std::function<void()> on_peer_ahead)
     : state_(state),
       on_peer_ahead_(std::move(on_peer_ahead)),
+      config_exchange_(std::make_unique<ConfigExchange>(state)),
       socket_(state.loop),
       heartbeat_(state.loop),
       flush_(state.loop),
-      forward_(state.loop) {
+      forward_(state.loop),
+      ask_(state.loop) {
   for (const std::string& seed : state_.settings.seeds) {
     const std::string host = HostOf(seed);
     if (host != state_.settings.ip) {
@@ -53,6 +56,8 @@
   }
 }
 
+PeerLink::~PeerLink() = default;
+
 boost::system::error_code PeerLink::Start() {
   boost::system::error_code error;
   const auto address =
@@ -87,6 +92,7 @@
   }
   heartbeat_.Cancel();
   flush_.Cancel();
+  ask_.Cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
@@ -141,6 +147,10 @@
     ApplyTargetEvents(message, now);
     ApplyCrashes(message, now);
     MergeRouteOutputs(message, now, &state_.outputs);
+    if (config_exchange_->HandleMessage(message, id, now)) {
+      ScheduleForward();
+    }
+    CheckConfig();
   }
   if (message.leaving) {
     return;
@@ -242,18 +252,38 @@
     state_.LogNewBlocks(now);
   }
   // In small fleets whoever detects a crash tells everyone.
-  if (news && !dispatch::AllInstancesAreHomes(state_.live_instances) &&
-      !forward_armed_) {
+  if (news && !dispatch::AllInstancesAreHomes(state_.live_instances)) {
+    ScheduleForward();
+  }
+}
+
+void PeerLink::ScheduleForward() {
+  if (!forward_armed_) {
     forward_armed_ = true;
-    forward_.Set(kForwardDelay, shared_from_this(), &PeerLink::ForwardCrashes);
+    forward_.Set(kForwardDelay, shared_from_this(), &PeerLink::Forward);
   }
 }
 
-void PeerLink::ForwardCrashes() {
+void PeerLink::Forward() {
   forward_armed_ = false;
   SendGossip(BootNow());
 }
 
+void PeerLink::CheckConfig() {
+  const absl::Time now = BootNow();
+  config_exchange_->Update(now);
+  const auto question = state_.config_agreement.TakeQuestion(now);
+  if (!question) {
+    return;
+  }
+  PeerMessage message = NewMessage();
+  message.config_requests.push_back({question->from.value()});
+  Send(question->holder, message);
+  // An answer may be lost.
+  ask_.Set(dispatch::ConfigAgreement::kAskInterval, shared_from_this(),
+           &PeerLink::CheckConfig);
+}
+
 void PeerLink::ApplyStoreReading(const PeerTrailer& trailer) {
   if (trailer.echo_ms == 0) {
     return;
@@ -274,10 +304,12 @@
 }
 
 void PeerLink::Reply(const PeerMessage& message, const InstanceId& from) {
-  if (message.placement_requests.empty() && !message.wants_gossip) {
+  if (message.placement_requests.empty() && message.config_requests.empty() &&
+      !message.wants_gossip) {
     return;
   }
   PeerMessage answer = NewMessage();
+  config_exchange_->AddEntries(message, &answer);
   for (const PeerPlacementRequest& request : message.placement_requests) {
     answer.placement_replies.push_back(ToWire(
         request.id,
@@ -339,6 +371,7 @@
   state_.CountInstances(now);
   state_.CheckLinks(now);
   state_.crash_evidence.RemoveExpired(now);
+  CheckConfig();
   if (state_.placer) {
     state_.placer->SampleLoad(now);
   }
@@ -362,7 +395,7 @@
       AddOutcomes(targets, &message);
     }
     if (gossip_partners.count(to) > 0) {
-      message.wants_gossip = !small_fleet;
+      message.wants_gossip = !small_fleet || !state_.config_agreement.settled();
       AddGossip(&message, now);
     }
     Send(to, message);
--- a/packages/front/src/peer_link_messages.cc
+++ b/packages/front/src/peer_link_messages.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "config_exchange.h"
 #include "peer_codec.h"
 #include "peer_message.h"
 #include "peer_output.h"
@@ -53,6 +54,7 @@
   AddCrashes(message, now);
   AddLimits(message, now);
   AddRouteOutputs(state_.outputs, now, state_.random, message);
+  config_exchange_->AddClaim(message, now);
 }
 
 void PeerLink::AddCrashes(PeerMessage* message, absl::Time now) {
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -239,6 +239,43 @@
                        hint_variance);
 };
 
+// The latest configuration that the sender knows an instance to hold.
+struct PeerConfigClaim {
+  // 0: none stated.
+  uint64_t version = 0;
+  // IPv4 address of the holder.
+  uint32_t holder = 0;
+  // The store's era and revision when the holder last read it.
+  uint64_t era = 0;
+  uint64_t revision = 0;
+  // Time since the holder stated this.
+  uint32_t age_ms = 0;
+  // The sender knows what other instances know.
+  bool sender_is_settled = false;
+  MSGPACK_DEFINE_ARRAY(version,
+                       holder,
+                       era,
+                       revision,
+                       age_ms,
+                       sender_is_settled);
+};
+
+// Asks for the entries of the receiver's configuration, from one digest on.
+struct PeerConfigRequest {
+  uint64_t from = 0;
+  MSGPACK_DEFINE_ARRAY(from);
+};
+
+// Digests of the sender's configuration, in their order.
+struct PeerConfigEntries {
+  uint64_t version = 0;
+  // As in the request.
+  uint64_t from = 0;
+  std::vector<uint64_t> entries;
+  bool is_last = false;
+  MSGPACK_DEFINE_ARRAY(version, from, entries, is_last);
+};
+
 struct PeerMessage {
   uint32_t version = kPeerMessageVersion;
   uint64_t incarnation = 0;
@@ -274,6 +311,10 @@
   std::vector<PeerPlacementReply> placement_replies;
   // Only in gossip.
   std::vector<PeerRouteOutput> route_outputs;
+  PeerConfigClaim config_claim;
+  // At most one of each.
+  std::vector<PeerConfigRequest> config_requests;
+  std::vector<PeerConfigEntries> config_entries;
   MSGPACK_DEFINE_ARRAY(version,
                        incarnation,
                        sequence,
@@ -297,7 +338,10 @@
                        outcomes,
                        placement_requests,
                        placement_replies,
-                       route_outputs);
+                       route_outputs,
+                       config_claim,
+                       config_requests,
+                       config_entries);
 };
 
 // Follows the message in a datagram; specific to its receiver. Timestamps are
--- a/packages/front/src/relay.cc
+++ b/packages/front/src/relay.cc
@@ -93,8 +93,9 @@
   facts_ = std::get<adapter::RequestMetadata>(read);
   const dispatch::AdmissionBounds bounds{state_.settings.revoke,
                                          state_.settings.strict_revocation};
-  const auto admitted = dispatch::Admit(
-      state_.view, {facts_.host, facts_.path, facts_.key}, bounds, started_);
+  const auto admitted =
+      dispatch::Admit(state_.view, state_.config_agreement.TrustAt(started_),
+                      {facts_.host, facts_.path, facts_.key}, bounds, started_);
   if (const auto* refusal = std::get_if<Refusal>(&admitted)) {
     Refuse(*refusal, absl::Seconds(1));
     return false;
--- a/packages/front/src/state.cc
+++ b/packages/front/src/state.cc
@@ -55,6 +55,10 @@
                        ? dispatch::BlockTrials::Start::kWithFleet
                        : dispatch::BlockTrials::Start::kLater,
                    BootNow()),
+      config_agreement(settings.first_start
+                           ? dispatch::ConfigAgreement::Start::kFirst
+                           : dispatch::ConfigAgreement::Start::kLater,
+                       BootNow()),
       random(std::random_device{}()),
       incarnation(random()) {
   log.SetOnDropped([this] { metrics.CountDroppedLogLine(); });
--- a/packages/front/src/store_reader.cc
+++ b/packages/front/src/store_reader.cc
@@ -26,6 +26,8 @@
 constexpr absl::Duration kMaxResponseTime = absl::Seconds(3);
 // A page holds about 1 MB; the changes after a long pause may be many.
 constexpr size_t kMaxResponseBytes = size_t{16} << 20;
+// A store that answers later than this may have been away meanwhile.
+constexpr absl::Duration kAwayAfter = absl::Milliseconds(300);
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(400);
 constexpr absl::Duration kIdleTimeout = absl::Seconds(3);
 // Backoff while the store fails, doubled each time.
@@ -222,15 +224,18 @@
     SendRequest();
     return;
   }
+  const bool was_away = failing_ || now - requested_at_ > kAwayAfter;
   MarkAvailable(now);
   ApplyEra(now);
   for (const dispatch::Revised& change : pages_) {
     HandleRestart(change, now);
+    LogOlderConfig(change, now);
   }
   state_.view.ApplySnapshot(pages_, first_page_revision_, now);
   state_.view.RecordConfirmation(first_page_requested_at_);
   state_.known_store.revision =
       std::max(state_.known_store.revision, first_page_revision_);
+  RecordOwnConfig(was_away, now);
   state_.log.Write(
       EventLog::Level::kNormal, "store_read",
       {{"revision", static_cast<int64_t>(state_.known_store.revision)},
@@ -279,6 +284,7 @@
   state_.view.RecordConfirmation(requested_at_);
   state_.known_store.revision =
       std::max(state_.known_store.revision, answer.revision);
+  RecordOwnConfig(/*was_away=*/false, now);
   if (changed) {
     on_change_();
   }
@@ -298,6 +304,7 @@
   bool changed = false;
   for (const dispatch::Revised& change : changes) {
     HandleRestart(change, now);
+    LogOlderConfig(change, now);
     if (state_.view.Apply(change, now)) {
       changed = true;
       LogChange(change, now);
@@ -374,6 +381,29 @@
                    {{"target", id.text()}}, now);
 }
 
+void StoreReader::RecordOwnConfig(bool was_away, absl::Time now) {
+  const uint64_t version =
+      state_.view.has_config() ? state_.view.config().version : 0;
+  state_.config_agreement.RecordOwn({version, state_.known_store}, was_away,
+                                    now);
+}
+
+void StoreReader::LogOlderConfig(const dispatch::Revised& change,
+                                 absl::Time now) {
+  const auto* config = std::get_if<dispatch::ConfigChange>(&change.change);
+  if (config == nullptr || !state_.view.has_config() ||
+      config->config.version >= state_.view.config().version) {
+    return;
+  }
+  state_.log.Write(
+      EventLog::Level::kImportant, "config_older_in_store",
+      {{"version", static_cast<int64_t>(config->config.version)},
+       {"in_force", static_cast<int64_t>(state_.view.config().version)},
+       {"revision", static_cast<int64_t>(change.revision)},
+       {"era", static_cast<int64_t>(state_.known_store.era)}},
+      now);
+}
+
 void StoreReader::LogFaults(const std::vector<std::string>& faults) {
   for (const std::string& fault : faults) {
     state_.log.Write(EventLog::Level::kImportant, "unreadable_entry",
--- a/packages/logbook/src/cause.cc
+++ b/packages/logbook/src/cause.cc
@@ -184,6 +184,14 @@
         "the configuration was last confirmed ", age, "; too old to trust its ",
         why == "keys_unconfirmed" ? "keys" : "routes", StoreStateNote(report));
   }
+  if (why == "config_unsettled") {
+    return "the instance had started, or the store had been restored, and no "
+           "other instance had told yet whether it holds a later configuration";
+  }
+  if (why == "config_behind") {
+    return "the store came back from a copy that lacks a configuration which "
+           "another instance holds; the route or key isn't known to be in it";
+  }
   if (why == "no_target") {
     return CauseOfNoTarget(report, refused);
   }
--- a/tests/front/peer_link_test.cc
+++ b/tests/front/peer_link_test.cc
@@ -3,8 +3,13 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "front/running_front.h"
 #include "peer_message.h"
 
@@ -23,7 +28,8 @@
         link_(std::make_shared<PeerLink>(state_,
                                          [this] { ++peer_ahead_calls_; })),
         peer_(loop_,
-              Udp::endpoint(boost::asio::ip::make_address_v4("127.0.0.2"), 0)) {
+              Udp::endpoint(boost::asio::ip::make_address_v4("127.0.0.2"),
+                            static_cast<uint16_t>(state_.settings.peer_port))) {
     REQUIRE_FALSE(link_->Start());
   }
   ~LinkFixture() {
@@ -56,6 +62,24 @@
                       static_cast<uint16_t>(state_.settings.peer_port)));
     loop_.poll();
   }
+  // The entries in the messages that the peer has received, if any.
+  std::optional<PeerConfigEntries> ReceiveEntries() {
+    std::optional<PeerConfigEntries> entries;
+    for (const PeerMessage& message : ReceiveAll()) {
+      if (!message.config_entries.empty()) {
+        entries = message.config_entries.front();
+      }
+    }
+    return entries;
+  }
+  // True if the peer has been asked for entries.
+  bool ReceiveConfigRequest() {
+    const std::vector<PeerMessage> messages = ReceiveAll();
+    return std::any_of(messages.begin(), messages.end(),
+                       [](const PeerMessage& message) {
+                         return !message.config_requests.empty();
+                       });
+  }
   State& state() { return state_; }
   // Number of calls of `on_peer_ahead`.
   int peer_ahead_calls() const { return peer_ahead_calls_; }
@@ -64,6 +88,19 @@
   }
 
  private:
+  std::vector<PeerMessage> ReceiveAll() {
+    std::vector<PeerMessage> messages;
+    std::array<char, 65536> buffer;
+    while (peer_.available() > 0) {
+      const size_t n = peer_.receive(boost::asio::buffer(buffer));
+      const auto decoded =
+          DecodePeerDatagram(absl::string_view(buffer.data(), n));
+      REQUIRE(IsOk(decoded));
+      messages.push_back(ValueOf(decoded).message);
+    }
+    return messages;
+  }
+
   testing::StandInStore store_;
   int log_fd_;
   net::Loop loop_;
@@ -151,6 +188,69 @@
   CHECK(state.limits.Find(target, 7) == nullptr);
 }
 
+dispatch::FleetConfig ConfigWithRoutes(uint64_t version, int routes) {
+  dispatch::FleetConfig config;
+  config.version = version;
+  for (int i = 0; i < routes; ++i) {
+    dispatch::Route route;
+    route.prefix = absl::StrCat("/", i, "/");
+    config.routes.push_back(route);
+  }
+  return config;
+}
+
+// All entries of the instance's configuration, asked for part by part.
+std::vector<uint64_t> FetchEntries(LinkFixture* link) {
+  std::vector<uint64_t> entries;
+  uint64_t sequence = 0;
+  bool done = false;
+  while (!done) {
+    PeerMessage message = NewMessage(++sequence);
+    message.config_requests = {{entries.empty() ? 0 : entries.back() + 1}};
+    link->Send(message, {});
+    const auto parts = link->ReceiveEntries();
+    REQUIRE(parts);
+    CHECK(parts->version == 9);
+    entries.insert(entries.end(), parts->entries.begin(), parts->entries.end());
+    done = parts->is_last;
+  }
+  return entries;
+}
+
+TEST_CASE("a peer that asks gets all entries of the configuration in force") {
+  LinkFixture link;
+  const dispatch::FleetConfig config = ConfigWithRoutes(9, 700);
+  link.state().view.Apply({1, dispatch::ConfigChange{config}}, BootNow());
+  const std::vector<uint64_t> fetched = FetchEntries(&link);
+  const std::vector<dispatch::ConfigEntry> all = dispatch::EntriesOf(config);
+  REQUIRE(fetched.size() == all.size());
+  for (size_t i = 0; i < all.size(); ++i) {
+    CHECK(fetched[i] == all[i].value());
+  }
+}
+
+TEST_CASE("a peer with a configuration that the store lost is asked for it") {
+  LinkFixture link;
+  State& state = link.state();
+  const dispatch::FleetConfig config = ConfigWithRoutes(5, 2);
+  state.view.Apply({1, dispatch::ConfigChange{config}}, BootNow());
+  state.known_store = {2, 12};
+  state.config_agreement.RecordOwn({4, {1, 11}}, false, BootNow());
+  state.config_agreement.RecordOwn({5, {2, 12}}, false, BootNow());
+  PeerMessage message = NewMessage(1);
+  message.config_claim = {9, 0x7F000002, 1, 40, 0, true};
+  link.Send(message, {});
+  REQUIRE(link.ReceiveConfigRequest());
+  const uint64_t kept = dispatch::EntryOf(config.routes[0]).value();
+  message = NewMessage(2);
+  message.config_entries = {{9, 0, {kept}, true}};
+  link.Send(message, {});
+  const auto trust = state.config_agreement.TrustAt(BootNow());
+  CHECK(trust.extent() == dispatch::ConfigTrust::Extent::kConfirmed);
+  CHECK(trust.Includes(dispatch::EntryOf(config.routes[0])));
+  CHECK_FALSE(trust.Includes(dispatch::EntryOf(config.routes[1])));
+}
+
 TEST_CASE("out-of-order messages are ignored") {
   LinkFixture link;
   link.Send(9, 1, 2);
