--- a/tests/dispatch/config_agreement_fleet_test.cc
+++ b/tests/dispatch/config_agreement_fleet_test.cc
@@ -81,14 +81,11 @@
     }
     return count;
   }
-  // Gossip rounds until no instance accepts the key, but not more than `most`.
-  int RoundsUntilRefused(ConfigEntry key, int most) {
-    int rounds = 0;
-    while (CountAccepting(key) > 0 && rounds < most) {
+  // Gossips until no instance accepts the key, at most for `most` rounds.
+  void GossipUntilRefused(ConfigEntry key, int most) {
+    for (int i = 0; i < most && CountAccepting(key) > 0; ++i) {
       GossipRound();
-      ++rounds;
     }
-    return rounds;
   }
 
  private:
@@ -180,7 +177,7 @@
   }
   // Less than the five seconds after which a key may no longer be used.
   const int most_rounds = 7;
-  fleet.RoundsUntilRefused(kTakenKey, most_rounds);
+  fleet.GossipUntilRefused(kTakenKey, most_rounds);
   CHECK(fleet.CountAccepting(kTakenKey) == 0);
   CHECK(fleet.CountAccepting(kKeptKey) == size);
 }
--- a/tests/front_soak/fault_soak.cc
+++ b/tests/front_soak/fault_soak.cc
@@ -4,12 +4,14 @@
 #include <docopt.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <numeric>
 #include <random>
 #include <string>
 #include <thread>
@@ -30,8 +32,8 @@
 
 Usage:
   fault_soak DAEMON [--instances=N] [--targets=N] [--callers=N]
-             [--seconds=S] [--seed=SEED] [--calm] [--keep=DIR]
-             [--known-red=FILE]
+             [--seconds=S] [--seed=SEED] [--calm | --drills]
+             [--keep=DIR] [--known-red=FILE]
   fault_soak --help
 
 Options:
@@ -41,6 +43,7 @@
   --seconds=S    How long faults are played [default: 30].
   --seed=SEED    Which faults, and when [default: 1].
   --calm         No faults.
+  --drills       Only restorations of the store, with instances killed.
   --keep=DIR     Settings and logs go there and stay.
   --known-red=FILE  Passes over the seed if a line of the file names it.
 
@@ -57,6 +60,8 @@
 constexpr absl::Duration kAftermath = absl::Seconds(3);
 constexpr absl::Duration kCalmEnd = absl::Seconds(4);
 constexpr absl::Duration kBetweenRequests = absl::Milliseconds(20);
+// A configuration is in force everywhere within this.
+constexpr absl::Duration kAllKnow = absl::Milliseconds(1500);
 // Bound on how long a key is honoured after its revocation, with a slack for a
 // busy machine.
 constexpr absl::Duration kRevoked = absl::Milliseconds(5500);
@@ -131,10 +136,16 @@
   Faults(uint64_t seed, Fleet* fleet, Judge* judge)
       : random_(seed), fleet_(*fleet), judge_(*judge) {}
 
-  void Run(absl::Duration time) {
+  // With `only_drills`, each fault is a drill of the store with instances that
+  // are killed meanwhile.
+  void Run(absl::Duration time, bool only_drills) {
     const absl::Time until = absl::Now() + time;
     while (absl::Now() < until) {
-      PlayOne();
+      if (only_drills) {
+        RestartInDrill();
+      } else {
+        PlayOne();
+      }
       absl::SleepFor(Between(random_, 100, 900));
     }
   }
@@ -236,6 +247,40 @@
     fleet_.WriteAgain(granted_);
   }
 
+  // A key is taken away, the store goes away, and some instances or all are
+  // killed. It comes back from a copy that has the key, and the operator writes
+  // again later: much later if an instance remembers. No request runs with it.
+  void RestartInDrill() {
+    if (!granted_) {
+      Grant();
+      absl::SleepFor(kAllKnow);
+    }
+    fleet_.store().SaveSnapshot();
+    Revoke();
+    absl::SleepFor(kAllKnow + Between(random_, 0, 1000));
+    fleet_.store().SetUnresponsive(true);
+    std::vector<int> killed(static_cast<size_t>(fleet_.instances()));
+    std::iota(killed.begin(), killed.end(), 0);
+    std::shuffle(killed.begin(), killed.end(), random_);
+    killed.resize(static_cast<size_t>(1 + Below(random_, fleet_.instances())));
+    const bool all = static_cast<int>(killed.size()) == fleet_.instances();
+    const absl::Duration away = Between(random_, 200, 2000);
+    Break(away + kRequestLimit);
+    for (const int instance : killed) {
+      fleet_.Kill(instance);
+    }
+    absl::SleepFor(away);
+    for (const int instance : killed) {
+      fleet_.Start(instance);
+    }
+    absl::SleepFor(Between(random_, 500, 1500));
+    fleet_.store().RestoreSnapshot();
+    fleet_.store().SetUnresponsive(false);
+    absl::SleepFor(all ? Between(random_, 500, 1500)
+                       : Between(random_, 2000, 5000));
+    fleet_.WriteAgain(granted_);
+  }
+
   void Break(absl::Duration time) {
     judge_.NoteBreak(absl::Now() + time + kAftermath);
   }
@@ -267,6 +312,7 @@
   absl::Duration time;
   uint64_t seed = 0;
   bool calm = false;
+  bool only_drills = false;
 };
 
 // Returns whether all promises held.
@@ -289,7 +335,7 @@
   if (plan.calm) {
     absl::SleepFor(plan.time);
   } else {
-    faults.Run(plan.time);
+    faults.Run(plan.time, plan.only_drills);
     faults.Heal();
     if (!fleet.AwaitReady(kStartLimit)) {
       judge.Broken("not ready after all faults were over");
@@ -342,6 +388,7 @@
   plan.time = absl::Seconds(args.at("--seconds").asLong());
   plan.seed = static_cast<uint64_t>(args.at("--seed").asLong());
   plan.calm = args.at("--calm").asBool();
+  plan.only_drills = args.at("--drills").asBool();
   const docopt::value& known_red = args.at("--known-red");
   if (known_red.isString() && IsKnownRed(known_red.asString(), plan.seed)) {
     std::cout << "known red, passed over: seed " << plan.seed << "\n";
