Only a store that states an era makes a started instance wait

Cause: the wait applied to every store.

Change: without an era the store is believed at once, as before, and claims count nothing. Where there is one, an instance that hears others which have just started too waits 0.6 s in place of 1.5 s: a settled one sends to one of them within a round of 0.4 s, and who is told passes it on after 0.1 s.

--- a/packages/dispatch/include/umbertrail/dispatch/config_agreement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/config_agreement.h
@@ -17,6 +17,9 @@
 // serves an older configuration, which instances that remember the later one
 // ignore. An instance without that memory, because it has started since or was
 // cut off, asks the others.
+//
+// A store that may be restored states an era in all its responses. One that
+// states none is believed as it is.
 
 namespace umbertrail::dispatch {
 
@@ -89,6 +92,10 @@
   // This long after the store was read it is believed, if no other instance has
   // answered.
   static constexpr absl::Duration kMaxUnsettled = absl::Milliseconds(1500);
+  // The same, after instances were heard of which none is settled: a settled
+  // one sends to one of these within a round of gossip.
+  static constexpr absl::Duration kMaxUnsettledTogether =
+      absl::Milliseconds(600);
   // A started instance that saw the store away, and finds no instance that
   // remembers, waits this long for the operator to write again what a restored
   // store lost.
@@ -154,6 +161,10 @@
   struct Unsettled {
     absl::Time heard_after;
     absl::Time until = absl::InfiniteFuture();
+    // The operator may have to write again.
+    bool awaits_operator = false;
+    // When an instance was first heard that isn't settled either.
+    absl::Time others_unsettled_at = absl::InfiniteFuture();
   };
   // What a holder was asked, and the entries that it has sent so far.
   struct Fetch {
@@ -174,6 +185,8 @@
   // entries are known.
   bool IsUnanswered(const ConfigClaim& claim, absl::Time now) const;
   bool MayBelieveStore(absl::Time now) const;
+  // When the store is believed though no settled instance was heard.
+  absl::Time BelievesAnywayAt() const;
   void BeginGap(absl::Time now);
   void MakeRoomForClaim();
   void DropOldClaims(absl::Time now);
--- a/packages/dispatch/src/config_agreement.cc
+++ b/packages/dispatch/src/config_agreement.cc
@@ -30,8 +30,11 @@
   const bool is_restored = own_ && own_->store.era != own.store.era;
   const bool is_rewritten = own_ && !is_restored && own_->version < own.version;
   own_ = own;
-  if (is_first && unsettled_) {
+  if (own.store.era == 0) {
+    unsettled_.reset();
+  } else if (is_first && unsettled_) {
     gap_at_ = now;
+    unsettled_->awaits_operator = store_was_away;
     unsettled_->until = now + (store_was_away ? kRewriteTime : kMaxUnsettled);
   } else if (is_restored) {
     BeginGap(now);
@@ -60,6 +63,9 @@
 void ConfigAgreement::RecordPeer(bool is_settled, absl::Time now) {
   if (is_settled) {
     settled_peer_heard_ = now;
+  } else if (unsettled_) {
+    absl::Time& first = unsettled_->others_unsettled_at;
+    first = std::min(first, now);
   }
   Update(now);
 }
@@ -112,7 +118,7 @@
 
 bool ConfigAgreement::Contradicts(const ConfigClaim& claim,
                                   absl::Time now) const {
-  return own_ && claim.version > own_->version &&
+  return own_ && own_->store.era > 0 && claim.version > own_->version &&
          !IsAhead(claim.store, own_->store) && now < gap_at_ + kClaimsCount;
 }
 
@@ -198,7 +204,16 @@
   }
   const bool is_told = settled_peer_heard_ >= unsettled_->heard_after &&
                        FindContradiction(now) == nullptr;
-  return is_told || now >= unsettled_->until;
+  return is_told || now >= BelievesAnywayAt();
+}
+
+absl::Time ConfigAgreement::BelievesAnywayAt() const {
+  if (unsettled_->awaits_operator) {
+    return unsettled_->until;
+  }
+  const absl::Time together =
+      std::max(gap_at_, unsettled_->others_unsettled_at);
+  return std::min(unsettled_->until, together + kMaxUnsettledTogether);
 }
 
 void ConfigAgreement::DropOldClaims(absl::Time now) {
--- a/packages/front/src/config_exchange.cc
+++ b/packages/front/src/config_exchange.cc
@@ -40,6 +40,7 @@
                                    const InstanceId& from,
                                    absl::Time now) {
   dispatch::ConfigAgreement& agreement = state_.config_agreement;
+  const bool was_settled = agreement.settled();
   const auto claim = FromWire(message.config_claim, now);
   if (claim && claim->holder.text() != state_.settings.ip) {
     agreement.MergeClaim(*claim, now);
@@ -49,10 +50,11 @@
     agreement.RecordEntries(from, FromWire(entries), now);
   }
   Update(now);
+  const bool is_told = !was_settled && agreement.settled();
   const dispatch::ConfigClaim* contradiction = agreement.FindContradiction(now);
   if (contradiction == nullptr ||
       contradiction->version == forwarded_version_) {
-    return false;
+    return is_told;
   }
   forwarded_version_ = contradiction->version;
   return true;
--- a/packages/front/src/config_exchange.h
+++ b/packages/front/src/config_exchange.h
@@ -18,8 +18,8 @@
   // Adds the latest claim to a gossip message.
   void AddClaim(PeerMessage* message, absl::Time now) const;
   // Handles the claim and the entries in another instance's message. True if
-  // this is the first that is heard of that version, so that others should hear
-  // of it soon.
+  // others should hear soon of what it has told: a version that contradicts the
+  // store, or all that a settled instance knows.
   bool HandleMessage(const PeerMessage& message,
                      const InstanceId& from,
                      absl::Time now);
--- a/tests/dispatch/config_agreement_test.cc
+++ b/tests/dispatch/config_agreement_test.cc
@@ -156,9 +156,9 @@
 // All instances restarted: none is left that knows.
 TEST_CASE("without anyone who remembers, the operator is awaited for a while") {
   ConfigAgreement agreement(Start::kLater, kStart);
-  agreement.RecordPeer(false, kStart);
   const absl::Time back = kStart + absl::Seconds(20);
   SECTION("the store was seen away") {
+    agreement.RecordPeer(false, kStart);
     agreement.RecordOwn({kOld, kRestored}, true, back);
     const absl::Time until = back + ConfigAgreement::kRewriteTime;
     CHECK(agreement.StandingAt(until - kMoment) == Standing::kUnsettled);
@@ -169,12 +169,32 @@
     agreement.RecordOwn({kLost, {2, 13}}, false, back + absl::Seconds(1));
     CHECK(agreement.settled());
   }
-  SECTION("the store was there") {
+  SECTION("the store was there, and nobody is heard") {
     agreement.RecordOwn({kOld, kRestored}, false, back);
     const absl::Time until = back + ConfigAgreement::kMaxUnsettled;
     CHECK(agreement.StandingAt(until - kMoment) == Standing::kUnsettled);
     CHECK(agreement.StandingAt(until) == Standing::kCurrent);
   }
+  SECTION("the store was there, and all have started") {
+    agreement.RecordOwn({kOld, kRestored}, false, back);
+    agreement.RecordPeer(false, back + absl::Milliseconds(200));
+    agreement.RecordPeer(false, back + absl::Milliseconds(400));
+    const absl::Time until =
+        back + absl::Milliseconds(200) + ConfigAgreement::kMaxUnsettledTogether;
+    CHECK(agreement.StandingAt(until - kMoment) == Standing::kUnsettled);
+    CHECK(agreement.StandingAt(until) == Standing::kCurrent);
+  }
+}
+
+// The page: a store that may be restored states an era in all its responses.
+TEST_CASE("a store that states no era is believed at once") {
+  ConfigAgreement agreement(Start::kLater, kStart);
+  agreement.RecordOwn({kOld, {0, 40}}, true, kStart);
+  CHECK(agreement.settled());
+  agreement.MergeClaim(Claim(kStart, kLost, {0, 40}), kStart);
+  agreement.Update(kStart);
+  CHECK_FALSE(agreement.TakeQuestion(kStart));
+  CHECK(agreement.TrustAt(kStart).Includes(kTakenKey));
 }
 
 TEST_CASE("entries arrive in parts, in order") {
