Config agreement: one fetch at a time, and parts must make progress

Now parts must be in order from the entry that was asked for, else the claim is refuted; entries of one holder at a time are kept (131,072 at most).

Tests: "a holder whose parts make no progress is not asked again", "two holders whose entries take several parts don't delay each other".

--- a/packages/dispatch/include/umbertrail/dispatch/config_agreement.h
+++ b/packages/dispatch/include/umbertrail/dispatch/config_agreement.h
@@ -166,12 +166,12 @@
     // When an instance was first heard that isn't settled either.
     absl::Time others_unsettled_at = absl::InfiniteFuture();
   };
-  // What a holder was asked, and the entries that it has sent so far.
+  // The entries that the holder asked last has sent so far.
   struct Fetch {
+    InstanceId holder;
     uint64_t version = 0;
     ConfigEntry next;
     ConfigTrust::Entries entries;
-    absl::Time asked_at = absl::InfinitePast();
   };
   struct Confirmed {
     ConfigClaim claim;
@@ -189,6 +189,7 @@
   absl::Time BelievesAnywayAt() const;
   void BeginGap(absl::Time now);
   void MakeRoomForClaim();
+  void Refute(const InstanceId& holder, absl::Time now);
   void DropOldClaims(absl::Time now);
 
   std::optional<Own> own_;
@@ -200,8 +201,11 @@
   std::map<InstanceId, ConfigClaim> claims_;
   // Claims that were stated before are refuted, by holder.
   std::map<InstanceId, absl::Time> refuted_;
-  std::map<InstanceId, Fetch> fetches_;
-  absl::Time asked_at_ = absl::InfinitePast();
+  // When holders of claims were last asked.
+  std::map<InstanceId, absl::Time> asked_;
+  // Not before this time another question is asked.
+  absl::Time next_question_at_ = absl::InfinitePast();
+  Fetch fetch_;
   std::optional<Confirmed> confirmed_;
 };
 
--- a/packages/dispatch/src/config_agreement.cc
+++ b/packages/dispatch/src/config_agreement.cc
@@ -14,6 +14,22 @@
 constexpr size_t kMaxClaims = 64;
 // No configuration has more entries.
 constexpr size_t kMaxEntries = size_t{1} << 17;
+constexpr ConfigEntry kMaxEntry(UINT64_MAX);
+
+// True if the entries are in order, from the one asked for on. All pages but
+// the last hold some, and leave some.
+bool IsWellFormed(const ConfigEntriesPage& page) {
+  const std::vector<ConfigEntry>& entries = page.entries;
+  const bool is_ordered = std::adjacent_find(entries.begin(), entries.end(),
+                                             [](ConfigEntry a, ConfigEntry b) {
+                                               return b <= a;
+                                             }) == entries.end();
+  if (entries.empty()) {
+    return page.is_last;
+  }
+  return is_ordered && page.from <= entries.front() &&
+         (page.is_last || entries.back() < kMaxEntry);
+}
 
 }  // namespace
 
@@ -141,63 +157,76 @@
 
 std::optional<ConfigAgreement::Question> ConfigAgreement::TakeQuestion(
     absl::Time now) {
+  if (now < next_question_at_) {
+    return std::nullopt;
+  }
   const ConfigClaim* chosen = nullptr;
-  const auto asked_at = [this](const ConfigClaim& claim) {
-    const auto fetch = fetches_.find(claim.holder);
-    return fetch == fetches_.end() ? absl::InfinitePast()
-                                   : fetch->second.asked_at;
+  // Least recently asked first; a fetch that has begun goes on.
+  const auto rank = [this](const ConfigClaim& claim) {
+    const auto asked = asked_.find(claim.holder);
+    return std::make_pair(
+        asked == asked_.end() ? absl::InfinitePast() : asked->second,
+        claim.holder != fetch_.holder);
   };
   for (const auto& [holder, claim] : claims_) {
     if (IsUnanswered(claim, now) &&
-        (chosen == nullptr || asked_at(claim) < asked_at(*chosen))) {
+        (chosen == nullptr || rank(claim) < rank(*chosen))) {
       chosen = &claim;
     }
   }
-  if (chosen == nullptr || now - asked_at_ < kAskInterval) {
+  if (chosen == nullptr) {
     return std::nullopt;
   }
-  Fetch& fetch = fetches_[chosen->holder];
-  fetch.asked_at = now;
-  asked_at_ = now;
-  return Question{chosen->holder, fetch.next};
+  if (fetch_.holder != chosen->holder) {
+    fetch_ = {};
+    fetch_.holder = chosen->holder;
+  }
+  asked_[chosen->holder] = now;
+  next_question_at_ = now + kAskInterval;
+  return Question{chosen->holder, fetch_.next};
 }
 
 void ConfigAgreement::RecordEntries(const InstanceId& holder,
                                     const ConfigEntriesPage& page,
                                     absl::Time now) {
-  const auto found = fetches_.find(holder);
   const auto claim = claims_.find(holder);
-  if (found == fetches_.end() || claim == claims_.end() || !own_) {
+  if (fetch_.holder != holder || claim == claims_.end() || !own_) {
     return;
   }
-  Fetch& fetch = found->second;
-  if (page.version <= own_->version ||
-      fetch.entries.size() + page.entries.size() > kMaxEntries) {
-    refuted_[holder] = now;
-    claims_.erase(claim);
-    fetches_.erase(found);
-    Update(now);
+  if (page.version <= own_->version || !IsWellFormed(page) ||
+      fetch_.entries.size() + page.entries.size() > kMaxEntries) {
+    Refute(holder, now);
     return;
   }
-  if (page.version != fetch.version) {
-    fetch = {page.version, ConfigEntry(), {}, fetch.asked_at};
+  if (page.version != fetch_.version) {
+    fetch_ = {};
+    fetch_.holder = holder;
+    fetch_.version = page.version;
   }
-  if (page.from != fetch.next || (page.entries.empty() && !page.is_last)) {
-    return;  // Late, or malformed.
+  if (page.from != fetch_.next) {
+    return;  // Late.
   }
-  fetch.entries.insert(page.entries.begin(), page.entries.end());
+  fetch_.entries.insert(page.entries.begin(), page.entries.end());
   if (page.is_last) {
-    confirmed_ = Confirmed{claim->second, std::move(fetch.entries)};
+    confirmed_ = Confirmed{claim->second, std::move(fetch_.entries)};
     confirmed_->claim.version = page.version;
-    fetches_.erase(found);
+    fetch_ = {};
   } else {
-    fetch.next = page.entries.back() + ConfigEntry(1);
-    fetch.asked_at = absl::InfinitePast();
-    asked_at_ = absl::InfinitePast();
+    // The next part is asked for at once, of the same holder.
+    fetch_.next = page.entries.back() + ConfigEntry(1);
+    asked_.erase(holder);
+    next_question_at_ = now;
   }
   Update(now);
 }
 
+void ConfigAgreement::Refute(const InstanceId& holder, absl::Time now) {
+  refuted_[holder] = now;
+  claims_.erase(holder);
+  fetch_ = {};
+  Update(now);
+}
+
 bool ConfigAgreement::MayBelieveStore(absl::Time now) const {
   if (!own_) {
     return false;
@@ -224,8 +253,8 @@
   for (auto it = refuted_.begin(); it != refuted_.end();) {
     it = it->second + kClaimLifetime < now ? refuted_.erase(it) : std::next(it);
   }
-  for (auto it = fetches_.begin(); it != fetches_.end();) {
-    it = claims_.count(it->first) == 0 ? fetches_.erase(it) : std::next(it);
+  for (auto it = asked_.begin(); it != asked_.end();) {
+    it = claims_.count(it->first) == 0 ? asked_.erase(it) : std::next(it);
   }
 }
 
--- a/tests/dispatch/config_agreement_test.cc
+++ b/tests/dispatch/config_agreement_test.cc
@@ -220,6 +220,49 @@
   CHECK(agreement.TrustAt(kStart).Includes(ConfigEntry(30)));
 }
 
+// Without an order, a holder could let itself be asked for the same part for
+// good.
+TEST_CASE("a holder whose parts make no progress is not asked again") {
+  constexpr ConfigEntry last_of_all(UINT64_MAX);
+  const ConfigEntriesPage pages[] = {
+      {kLost, ConfigEntry(), {}, false},
+      {kLost, ConfigEntry(9), {kKeptKey}, true},
+      {kLost, ConfigEntry(), {last_of_all}, false},
+      {kLost, ConfigEntry(), {kTakenKey, kKeptKey}, false},
+      {kLost, ConfigEntry(), {kKeptKey, kKeptKey}, false}};
+  for (const ConfigEntriesPage& malformed : pages) {
+    ConfigAgreement agreement(Start::kLater, kStart);
+    agreement.RecordOwn({kOld, kRestored}, false, kStart);
+    agreement.MergeClaim(Claim(kStart), kStart);
+    REQUIRE(agreement.TakeQuestion(kStart));
+    agreement.RecordEntries(kHolder, malformed, kStart);
+    CHECK_FALSE(agreement.TakeQuestion(kStart + ConfigAgreement::kAskInterval));
+  }
+}
+
+// Holders are asked in turn, but a list that arrives in parts is read to its
+// end.
+TEST_CASE(
+    "two holders whose entries take several parts don't delay each other") {
+  const InstanceId other("10.1.0.2");
+  ConfigAgreement agreement(Start::kLater, kStart);
+  agreement.RecordOwn({kOld, kRestored}, false, kStart);
+  agreement.MergeClaim(Claim(kStart), kStart);
+  agreement.MergeClaim({kLost, other, kBefore, kStart}, kStart);
+  const auto first = agreement.TakeQuestion(kStart);
+  REQUIRE(first);
+  for (uint64_t part = 0; part < 9; ++part) {
+    agreement.RecordEntries(
+        first->holder,
+        {kLost, ConfigEntry(part), {ConfigEntry(part)}, part == 8}, kStart);
+    const auto next = agreement.TakeQuestion(kStart);
+    CHECK(next.has_value() == (part < 8));
+    CHECK((!next || next->holder == first->holder));
+  }
+  agreement.RecordPeer(true, kStart);
+  CheckBehind(agreement, kStart);
+}
+
 // Anyone can send a claim.
 TEST_CASE("a claim that its holder doesn't know delays a start for a moment") {
   ConfigAgreement agreement(Start::kLater, kStart);
