Only gossip tells whether an instance is settled

Found on reading again: load reports and placement messages state no configuration, and read as messages of an instance that has just started.

Change: the wire tells settled, unsettled and not stated apart. Older builds state nothing.

Test: "only gossip tells whether an instance is settled", red before: current where unsettled was expected.

--- a/packages/front/src/config_exchange.cc
+++ b/packages/front/src/config_exchange.cc
@@ -33,7 +33,7 @@
   if (wire) {
     message->config_claim = *wire;
   }
-  message->config_claim.sender_is_settled = agreement.settled();
+  message->config_claim.sender = agreement.settled() ? kSettled : kUnsettled;
 }
 
 bool ConfigExchange::HandleMessage(const PeerMessage& message,
@@ -45,7 +45,9 @@
   if (claim && claim->holder.text() != state_.settings.ip) {
     agreement.MergeClaim(*claim, now);
   }
-  agreement.RecordPeer(message.config_claim.sender_is_settled, now);
+  if (message.config_claim.sender != kSettlementNotStated) {
+    agreement.RecordPeer(message.config_claim.sender == kSettled, now);
+  }
   for (const PeerConfigEntries& entries : message.config_entries) {
     agreement.RecordEntries(from, FromWire(entries), now);
   }
--- a/packages/front/src/peer_message.h
+++ b/packages/front/src/peer_message.h
@@ -239,6 +239,12 @@
                        hint_variance);
 };
 
+// Whether the sender knows what other instances know. Messages other than
+// gossip don't state it, nor do older builds.
+inline constexpr uint8_t kSettlementNotStated = 0;
+inline constexpr uint8_t kUnsettled = 1;
+inline constexpr uint8_t kSettled = 2;
+
 // The latest configuration that the sender knows an instance to hold.
 struct PeerConfigClaim {
   // 0: none stated.
@@ -250,14 +256,8 @@
   uint64_t revision = 0;
   // Time since the holder stated this.
   uint32_t age_ms = 0;
-  // The sender knows what other instances know.
-  bool sender_is_settled = false;
-  MSGPACK_DEFINE_ARRAY(version,
-                       holder,
-                       era,
-                       revision,
-                       age_ms,
-                       sender_is_settled);
+  uint8_t sender = kSettlementNotStated;
+  MSGPACK_DEFINE_ARRAY(version, holder, era, revision, age_ms, sender);
 };
 
 // Asks for the entries of the receiver's configuration, from one digest on.
--- a/tests/front/peer_link_test.cc
+++ b/tests/front/peer_link_test.cc
@@ -238,7 +238,7 @@
   state.config_agreement.RecordOwn({4, {1, 11}}, false, BootNow());
   state.config_agreement.RecordOwn({5, {2, 12}}, false, BootNow());
   PeerMessage message = NewMessage(1);
-  message.config_claim = {9, 0x7F000002, 1, 40, 0, true};
+  message.config_claim = {9, 0x7F000002, 1, 40, 0, kSettled};
   link.Send(message, {});
   REQUIRE(link.ReceiveConfigRequest());
   const uint64_t kept = dispatch::EntryOf(config.routes[0]).value();
@@ -251,6 +251,27 @@
   CHECK_FALSE(trust.Includes(dispatch::EntryOf(config.routes[1])));
 }
 
+// A settled instance's load reports state nothing; they were taken for messages
+// of one that has just started.
+TEST_CASE("only gossip tells whether an instance is settled") {
+  LinkFixture link;
+  State& state = link.state();
+  state.config_agreement = dispatch::ConfigAgreement(
+      dispatch::ConfigAgreement::Start::kLater, BootNow());
+  const absl::Time read_at = BootNow();
+  state.config_agreement.RecordOwn({5, {2, 12}}, false, read_at);
+  const absl::Time together = read_at +
+                              dispatch::ConfigAgreement::kMaxUnsettledTogether +
+                              absl::Milliseconds(500);
+  link.Send(NewMessage(1), {});
+  CHECK(state.config_agreement.StandingAt(together) ==
+        dispatch::ConfigAgreement::Standing::kUnsettled);
+  PeerMessage gossip = NewMessage(2);
+  gossip.config_claim.sender = kSettled;
+  link.Send(gossip, {});
+  CHECK(state.config_agreement.settled());
+}
+
 TEST_CASE("out-of-order messages are ignored") {
   LinkFixture link;
   link.Send(9, 1, 2);
--- a/tests/front/peer_message_test.cc
+++ b/tests/front/peer_message_test.cc
@@ -27,7 +27,7 @@
   message.targets = {{"t1", {{1500, 3900, 1, 250, 2.5F, 4000}}}, {"t2", {}}};
   message.crashes = {{"t3", 7, 20, {9}, {10, 11}}};
   message.answers = {{12, 30}};
-  message.config_claim = {9, 0x0A000002, 2, 12, 30, true};
+  message.config_claim = {9, 0x0A000002, 2, 12, 30, kSettled};
   message.config_requests = {{77}};
   message.config_entries = {{9, 77, {78, 79}, true}};
   return message;
@@ -64,7 +64,7 @@
   CHECK(message.config_claim.holder == 0x0A000002);
   CHECK(message.config_claim.era == 2);
   CHECK(message.config_claim.revision == 12);
-  CHECK(message.config_claim.sender_is_settled);
+  CHECK(message.config_claim.sender == kSettled);
   CHECK(message.config_requests.front().from == 77);
   CHECK(message.config_entries.front().entries ==
         std::vector<uint64_t>{78, 79});
@@ -105,9 +105,9 @@
   const PeerMessage& message = ValueOf(decoded).message;
   CHECK(message.placement_replies.front().target == "t5");
   CHECK(message.route_outputs.empty());
-  // It states no configuration, and doesn't count as an instance that knows.
+  // It states no configuration, nor whether it knows what others know.
   CHECK(message.config_claim.version == 0);
-  CHECK_FALSE(message.config_claim.sender_is_settled);
+  CHECK(message.config_claim.sender == kSettlementNotStated);
 }
 
 TEST_CASE("corrupted datagrams never crash the decoder") {
