Logbook: what was known of configurations explains a refused request

A request refused as config_behind was explained without the versions, and the lines config_standing, config_older_in_store and store_from_copy weren't shown with a request. Now they are, and the cause names the version here, the later one and its holder. Test: "a configuration that the store lost explains a refused key".

--- a/packages/logbook/src/cause.cc
+++ b/packages/logbook/src/cause.cc
@@ -47,6 +47,16 @@
                             lost->Text("why"), ")");
 }
 
+// Which configurations the instance and another one held.
+std::string LaterConfigNote(const RequestReport& report) {
+  const LogLine* line = LastOf(report.related, "config_standing");
+  return line == nullptr || line->Text("holder").empty()
+             ? ""
+             : absl::StrCat("; version ", NumberOr(*line, "version", 0),
+                            " here, ", NumberOr(*line, "later_version", 0),
+                            " at ", line->Text("holder"));
+}
+
 struct Phrase {
   absl::string_view name;
   absl::string_view text;
@@ -189,8 +199,10 @@
            "other instance had told yet whether it holds a later configuration";
   }
   if (why == "config_behind") {
-    return "the store came back from a copy that lacks a configuration which "
-           "another instance holds; the route or key isn't known to be in it";
+    return absl::StrCat(
+        "the store came back from a copy that lacks a configuration which "
+        "another instance holds; the route or key isn't known to be in it",
+        LaterConfigNote(report));
   }
   if (why == "no_target") {
     return CauseOfNoTarget(report, refused);
--- a/packages/logbook/src/story.cc
+++ b/packages/logbook/src/story.cc
@@ -22,7 +22,8 @@
       "start",           "stop_begun",         "stop_over",
       "readiness",       "store_lost",         "store_regained",
       "config_in_force", "data_centre_closed", "data_centre_reopened",
-      "reload",          "reload_refused",     "store_history_lost"};
+      "reload",          "reload_refused",     "store_history_lost",
+      "config_standing", "store_from_copy",    "config_older_in_store"};
   return events.count(event) != 0;
 }
 
--- a/tests/logbook/story_test.cc
+++ b/tests/logbook/story_test.cc
@@ -180,5 +180,21 @@
                                 !Contains("other"));
 }
 
+TEST_CASE("a configuration that the store lost explains a refused key") {
+  const MergedLog log =
+      ParseLog(R"({"t_ms":4000,"instance":"a","event":"config_standing",)"
+               R"("standing":"behind","version":5,"later_version":9,)"
+               R"("holder":"10.1.0.2"})"
+               "\n"
+               R"({"t_ms":5500,"instance":"a","event":"refused","request":"r",)"
+               R"("why":"config_behind"})"
+               "\n"
+               R"({"t_ms":5500,"instance":"a","event":"ended","request":"r",)"
+               R"("outcome":"refused"})"
+               "\n");
+  const auto report = LogAnalyser(&log).Find("r");
+  CHECK_THAT(report->cause, Contains("version 5 here, 9 at 10.1.0.2"));
+}
+
 }  // namespace
 }  // namespace umbertrail::logbook
