--- a/tests/front_soak/fault_soak.cc
+++ b/tests/front_soak/fault_soak.cc
@@ -262,8 +262,9 @@
     std::vector<int> killed(static_cast<size_t>(fleet_.instances()));
     std::iota(killed.begin(), killed.end(), 0);
     std::shuffle(killed.begin(), killed.end(), random_);
-    killed.resize(static_cast<size_t>(1 + Below(random_, fleet_.instances())));
-    const bool all = static_cast<int>(killed.size()) == fleet_.instances();
+    const int count = 1 + Below(random_, fleet_.instances());
+    const bool all = count == fleet_.instances();
+    killed.resize(static_cast<size_t>(count));
     const absl::Duration away = Between(random_, 200, 2000);
     Break(away + kRequestLimit);
     for (const int instance : killed) {
