--- a/tests/front/restored_store_test.cc
+++ b/tests/front/restored_store_test.cc
@@ -187,17 +187,23 @@
   return served;
 }
 
+// Takes the key away and waits until all instances refuse it. Returns how many
+// requests with it have run.
+int TakeKeyAwayEverywhere(RestoredFleet* fleet) {
+  fleet->TakeKeyAway();
+  for (int i = 0; i < kInstances; ++i) {
+    fleet->AwaitStatus(i, kTakenAway, "401");
+  }
+  return fleet->Runs(kTakenAway);
+}
+
 // An instance without memory took the copy's configuration for the one in
 // force, though other instances knew a later one: it ran requests with a key
 // that had been taken away.
 TEST_CASE("a key taken away stays so at instances restarted in a drill") {
   const int restarted = GENERATE(1, 2);
   RestoredFleet fleet;
-  fleet.TakeKeyAway();
-  for (int i = 0; i < kInstances; ++i) {
-    fleet.AwaitStatus(i, kTakenAway, "401");
-  }
-  const int before = fleet.Runs(kTakenAway);
+  const int before = TakeKeyAwayEverywhere(&fleet);
   fleet.SetAway(true);
   for (int i = 0; i < restarted; ++i) {
     fleet.Kill(fleet.last() - i);
@@ -221,11 +227,7 @@
 // that they saw the store away.
 TEST_CASE("keys wait for the operator when all instances restart in a drill") {
   RestoredFleet fleet;
-  fleet.TakeKeyAway();
-  for (int i = 0; i < kInstances; ++i) {
-    fleet.AwaitStatus(i, kTakenAway, "401");
-  }
-  const int before = fleet.Runs(kTakenAway);
+  const int before = TakeKeyAwayEverywhere(&fleet);
   fleet.SetAway(true);
   for (int i = 0; i < kInstances; ++i) {
     fleet.Kill(i);
